--- a/src/apps/agent/agentcore.cpp
+++ b/src/apps/agent/agentcore.cpp
@@ -466,8 +466,9 @@
 Platform::StreamHandlers AgentCore::streamHandlers(const AttemptPtr& attempt)
 {
     Platform::StreamHandlers handlers;
-    handlers.onHead
-        = [this, attempt](int status, const std::string& type) { this->onAnswerHead(attempt, status, type); };
+    handlers.onHead = [this, attempt](const Platform::AnswerStart& start) {
+        this->onAnswerHead(attempt, start.status, start.contentType);
+    };
     handlers.onData = [this, attempt](const std::string& data) { this->onAnswerData(attempt, data); };
     handlers.onEnd = [this, attempt](const Platform::HttpCallResult& result) { this->onCallEnd(attempt, result); };
     return handlers;
--- /dev/null
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -0,0 +1,207 @@
+#include "gatewaycore.h"
+
+#include <foundation/logging.h>
+
+#include <asio/post.hpp>
+
+namespace Gateway {
+
+namespace {
+
+using Foundation::Duration;
+using Foundation::Event;
+using Foundation::logEvent;
+using Foundation::TimePoint;
+
+// The grain of deadlines and of held-back prompts.
+constexpr Duration tickInterval = std::chrono::milliseconds(20);
+// The steady clock stands still while a machine is suspended, the boot clock does not.
+constexpr Duration suspensionMinimum = std::chrono::milliseconds(500);
+// The balancer asks every second and takes a process out after two misses.
+constexpr Duration balancerDelay = std::chrono::milliseconds(2'700);
+// The time before the kill that answers need to leave the sockets.
+constexpr Duration killMargin = std::chrono::milliseconds(400);
+// A request that crashed so many upstreams is not run any more. An upstream may also crash or break a connection for
+// reasons of its own, so fewer would turn bystanders away.
+constexpr std::size_t crashLimit = 3;
+
+Relay::RetryBound retryBoundOf(const PlatformAdapter::NodeSettings& node)
+{
+    return { node.retryRatio, node.retrySlack, node.retryWindow };
+}
+
+} // namespace
+
+GatewayCore::GatewayCore(asio::io_context& context, const GatewaySettings& settings)
+    : context(context)
+    , settings(settings)
+    , transfers(context)
+    , retries(retryBoundOf(settings.node))
+    , suspects(this->clock, crashLimit)
+    , mesh(context, this->clock, settings.node.name, settings.node.peers.text(),
+          { [this](const std::string& peer, const Wire::PeerLoad& load) {
+               this->ledger.setPeerShares(peer, load.shares, load.isComplete);
+               this->dispatcher.review();
+           },
+              [this](const std::string& peer) {
+                  this->ledger.dropPeer(peer);
+                  this->dispatcher.review();
+              },
+              [this](const Wire::KnowledgeQuery& query) { return this->knowledge.answer(query); },
+              [this](const Wire::KnowledgeReply& reply) { this->knowledge.onReply(reply); },
+              [this](const Wire::SuspectNotice& notice) {
+                  for (const Quarantine::CrashNotice& crash : notice.crashes)
+                      this->suspects.note(crash);
+              },
+              [this] {
+                  return Wire::PeerLoad { true, this->ledger.ownShares() };
+              },
+              [this] {
+                  return Wire::SuspectNotice { this->suspects.notices(), {} };
+              },
+              [this] { this->applyBounds(); } })
+    , knowledge(context, this->transfers, this->clock, this->bootClock, this->metrics, this->settings,
+          { [this] { this->onKnowledgeChanged(); },
+              [this](const std::map<std::string, std::string>& addresses) { this->mesh.setMembers(addresses); },
+              [this](const Wire::KnowledgeQuery& query) { return this->mesh.ask(query); } })
+    , dispatcher(this->clock, this->knowledge.directory(), this->health, this->ledger,
+          settings.node.regionByFailureDomain, settings.node.failureDomain)
+    , flowContext { this->clock, this->metrics, this->transfers, this->knowledge, this->dispatcher, this->ledger,
+        this->retries, this->health, this->suspects, [this] { this->onLoadChanged(); },
+        [this](const Quarantine::CrashNotice& notice) {
+            this->mesh.broadcast(Wire::SuspectNotice { { notice }, {} });
+        },
+        [this](const RelayFlow& flow) { this->flows.erase(&flow); }, [this] { return bool(this->onStopped); } }
+    , tickTimer(context)
+{
+}
+
+Foundation::Result<void> GatewayCore::start()
+{
+    this->applyBounds();
+    this->suspendedBefore = this->bootClock.now().time_since_epoch() - this->clock.now().time_since_epoch();
+    this->mesh.setSeeds(this->settings.node.seeds);
+    auto listening = this->mesh.listen(this->settings.node.peers.address, this->settings.node.peers.port);
+    if (!listening)
+        return listening;
+    this->knowledge.start();
+    this->tick();
+    return boost::outcome_v2::success();
+}
+
+void GatewayCore::serve(const std::shared_ptr<Web::HttpExchange>& exchange)
+{
+    const auto flow = std::make_shared<RelayFlow>(this->flowContext, exchange);
+    this->flows[flow.get()] = flow;
+    flow->start();
+}
+
+bool GatewayCore::isReady() const
+{
+    const auto policy = this->knowledge.policy();
+    return !this->onStopped && policy && (!policy->hasAccounts() || this->knowledge.mayAcceptKeys());
+}
+
+void GatewayCore::reload(const GatewaySettings& newSettings)
+{
+    this->settings = newSettings;
+    this->knowledge.setSettings(newSettings);
+    this->retries.setBound(retryBoundOf(newSettings.node));
+    this->applyBounds();
+}
+
+void GatewayCore::applyBounds()
+{
+    const std::size_t processes = this->mesh.memberCount();
+    this->retries.setProcessCount(processes);
+    this->dispatcher.starts().setProcessCount(processes);
+    this->dispatcher.setColdBound(this->settings.node.coldFactor, this->settings.node.coldSlack);
+}
+
+void GatewayCore::onKnowledgeChanged()
+{
+    if (const auto policy = this->knowledge.policy())
+        this->dispatcher.setPolicy(policy);
+    this->dispatcher.review();
+}
+
+void GatewayCore::onLoadChanged()
+{
+    if (std::exchange(this->isFlushScheduled, true))
+        return;
+    asio::post(this->context, [this] {
+        this->isFlushScheduled = false;
+        this->flushLoad();
+        this->dispatcher.review();
+    });
+}
+
+void GatewayCore::flushLoad()
+{
+    std::vector<Placement::UpstreamShare> changes = this->ledger.takeChanges();
+    if (!changes.empty())
+        this->mesh.broadcast(Wire::PeerLoad { false, std::move(changes) });
+}
+
+void GatewayCore::tick()
+{
+    this->noteSuspension();
+    const TimePoint now = this->clock.now();
+    this->knowledge.tick();
+    this->mesh.tick();
+    std::vector<std::shared_ptr<RelayFlow>> active;
+    for (const auto& [key, flow] : this->flows)
+        active.push_back(flow);
+    for (const auto& flow : active)
+        flow->check(now);
+    this->dispatcher.review();
+    if (this->onStopped && this->mayStop(now)) {
+        this->onStopped();
+        return;
+    }
+    this->tickTimer.expires_after(tickInterval);
+    this->tickTimer.async_wait([this](const asio::error_code& error) {
+        if (!error)
+            this->tick();
+    });
+}
+
+void GatewayCore::noteSuspension()
+{
+    const Duration suspended = this->bootClock.now().time_since_epoch() - this->clock.now().time_since_epoch();
+    const Duration added = suspended - this->suspendedBefore;
+    this->suspendedBefore = suspended;
+    if (added < suspensionMinimum)
+        return;
+    logEvent(Event::MachineSuspended, "", "suspended_ms=" + std::to_string(Foundation::toMilliseconds(added)));
+    this->knowledge.restart();
+    this->mesh.reset();
+}
+
+void GatewayCore::shutDown(std::function<void()> onDone)
+{
+    if (this->onStopped)
+        return;
+    logEvent(Event::ProcessStopping, "", "under_way=" + std::to_string(this->flows.size()));
+    this->stopBegan = this->clock.now();
+    this->onStopped = std::move(onDone);
+}
+
+bool GatewayCore::mayStop(TimePoint now) const
+{
+    const Duration passed = now - this->stopBegan;
+    if (passed >= this->settings.node.shutdownGrace - killMargin)
+        return true;
+    return this->flows.empty() && passed >= balancerDelay;
+}
+
+std::string GatewayCore::renderMetrics()
+{
+    this->metrics.setGauge("bluebell_requests_under_way", "", static_cast<double>(this->flows.size()));
+    this->metrics.setGauge("bluebell_prompts_waiting", "", static_cast<double>(this->dispatcher.waitingCount()));
+    this->metrics.setGauge("bluebell_upstreams", "", static_cast<double>(this->knowledge.directory().size()));
+    this->metrics.setGauge("bluebell_gateways", "", static_cast<double>(this->mesh.memberCount()));
+    return this->metrics.render();
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/src/apps/gateway/gatewaysettings.cpp
@@ -0,0 +1,57 @@
+#include "gatewaysettings.h"
+
+#include <application/processsettings.h>
+#include <foundation/jsonobjectreader.h>
+
+#include <nlohmann/json.hpp>
+
+namespace Gateway {
+
+namespace {
+
+using Foundation::Error;
+using Foundation::ResultCode;
+using Foundation::Severity;
+
+constexpr const char* nodeKey = "node";
+
+Severity severityOf(Foundation::JsonObjectReader& reader)
+{
+    const std::string level = reader.text("logLevel", "info");
+    if (level == "debug")
+        return Severity::Debug;
+    if (level == "warning")
+        return Severity::Warning;
+    if (level != "info")
+        reader.fail("logLevel", "must be debug, info or warning");
+    return Severity::Info;
+}
+
+} // namespace
+
+Foundation::Result<GatewaySettings> parseGatewaySettings(std::string_view fileName, std::string_view text)
+{
+    auto located = Foundation::parseLocatedJson(fileName, text, ResultCode::SettingsInvalid);
+    if (!located)
+        return located.error();
+    std::vector<std::string> errors;
+    Foundation::JsonObjectReader reader(located.value(), "", errors);
+    GatewaySettings settings;
+    settings.logSeverity = severityOf(reader);
+    settings.logLinesPerSecond = reader.integer("logLinesPerSecond", 1, 100'000, settings.logLinesPerSecond);
+    settings.metricsPort = static_cast<std::uint16_t>(reader.integer("metricsPort", 1, 65535, settings.metricsPort));
+    // The platform fills this object in and may add fields at any time, so it is not checked for unknown ones.
+    reader.object(nodeKey);
+    reader.refuseUnknownKeys();
+    const nlohmann::json& root = located.value().value;
+    auto node = PlatformAdapter::decodeNodeSettings(root.value(nodeKey, nlohmann::json::object()));
+    if (node)
+        settings.node = std::move(node.value());
+    else
+        errors.push_back(std::string(fileName) + ": " + nodeKey + ": " + node.error().message);
+    if (!errors.empty())
+        return Error { ResultCode::SettingsInvalid, Application::joinLines(errors) };
+    return settings;
+}
+
+} // namespace Gateway
--- /dev/null
+++ b/src/apps/gateway/main.cpp
@@ -0,0 +1,153 @@
+#include "gatewaycore.h"
+
+#include <application/commandline.h>
+#include <foundation/logging.h>
+#include <web/httpserver.h>
+
+#include <asio/signal_set.hpp>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <iostream>
+
+DEFINE_string(settings, "", "path of the settings file");
+DEFINE_bool(check, false, "check the settings file and exit");
+
+namespace {
+
+using Application::ExitCode;
+using Foundation::Event;
+using Foundation::logEvent;
+
+// Documents bound bodies to a few MB; this only keeps a process within its memory.
+constexpr std::uint64_t maximumHttpBody = 16 * 1024 * 1024;
+// Settings may change without a signal.
+constexpr auto settingsInterval = std::chrono::seconds(1);
+constexpr int okStatus = 200;
+constexpr int unavailableStatus = 503;
+
+Web::HttpReply plain(int status, std::string text) { return { status, "text/plain", {}, std::move(text), false }; }
+
+/** Reads the settings again after a signal, and when the file has changed without one. */
+class SettingsWatch {
+public:
+    SettingsWatch(asio::io_context& context, std::string path, std::string text, Gateway::GatewayCore& core)
+        : path(std::move(path))
+        , text(std::move(text))
+        , core(core)
+        , timer(context)
+        , hangups(context, SIGHUP)
+    {
+        this->waitForSignal();
+        this->waitForInterval();
+    }
+
+private:
+    void waitForSignal()
+    {
+        this->hangups.async_wait([this](const std::error_code& error, int) {
+            if (error)
+                return;
+            this->look();
+            this->waitForSignal();
+        });
+    }
+
+    void waitForInterval()
+    {
+        this->timer.expires_after(settingsInterval);
+        this->timer.async_wait([this](const std::error_code& error) {
+            if (error)
+                return;
+            this->look();
+            this->waitForInterval();
+        });
+    }
+
+    void look()
+    {
+        auto newest = Application::readFile(this->path);
+        if (!newest || *newest == this->text)
+            return;
+        this->text = std::move(*newest);
+        const auto settings = Gateway::parseGatewaySettings(this->path, this->text);
+        if (!settings) {
+            logEvent(Event::SettingsRejected, "", settings.error().message);
+            return;
+        }
+        this->core.reload(settings.value());
+        logEvent(Event::SettingsReloaded, "", this->path);
+    }
+
+    std::string path;
+    std::string text;
+    Gateway::GatewayCore& core;
+    asio::steady_timer timer;
+    asio::signal_set hangups;
+};
+
+int run(const Gateway::GatewaySettings& settings, const std::string& text)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    Foundation::startLogging("bluebell-gateway", settings.node.name, settings.logSeverity);
+    // Everything runs on this one thread: the machine gives a process a part of one core.
+    asio::io_context context(1);
+    Gateway::GatewayCore core(context, settings);
+    int exitCode = static_cast<int>(ExitCode::Success);
+    const auto fail = [&context, &exitCode](const std::string& message) {
+        std::cerr << "cannot listen: " << message << '\n';
+        exitCode = static_cast<int>(ExitCode::SettingsInvalid);
+        context.stop();
+    };
+    const auto& node = settings.node;
+    Web::HttpServer callers(context, { node.callers.address, node.callers.port, maximumHttpBody },
+        [&core](const std::shared_ptr<Web::HttpExchange>& exchange) { core.serve(exchange); });
+    Web::HttpServer readiness(context, { node.readiness.address, node.readiness.port, maximumHttpBody },
+        [&core](const std::shared_ptr<Web::HttpExchange>& exchange) {
+            exchange->respond(core.isReady() ? plain(okStatus, "ready\n") : plain(unavailableStatus, "not ready\n"));
+        });
+    Web::HttpServer metrics(context, { node.address, settings.metricsPort, maximumHttpBody },
+        [&core](const std::shared_ptr<Web::HttpExchange>& exchange) {
+            exchange->respond(plain(okStatus, core.renderMetrics()));
+        });
+    callers.start(fail);
+    readiness.start(fail);
+    metrics.start(fail);
+    const auto started = core.start();
+    if (!started) {
+        fail(started.error().message);
+        return exitCode;
+    }
+    asio::signal_set stopSignals(context, SIGTERM, SIGINT);
+    stopSignals.async_wait([&](const std::error_code& error, int) {
+        if (!error)
+            core.shutDown([&context] { context.stop(); });
+    });
+    const SettingsWatch watch(context, FLAGS_settings, text, core);
+    logEvent(Event::ProcessStarted, "", BLUEBELL_VERSION);
+    context.run();
+    logEvent(Event::ProcessStopped, "", "");
+    return exitCode;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    Application::parseCommandLine("a gateway in front of upstreams that take requests directly\n"
+                                  "usage: bluebell-gateway --settings FILE [--check]",
+        argc, argv);
+    const auto text = Application::readFile(FLAGS_settings);
+    if (!text) {
+        std::cerr << "cannot read the settings file '" << FLAGS_settings << "'\n";
+        return static_cast<int>(ExitCode::Usage);
+    }
+    const auto settings = Gateway::parseGatewaySettings(FLAGS_settings, *text);
+    if (!settings) {
+        std::cerr << settings.error().message << '\n';
+        return static_cast<int>(ExitCode::SettingsInvalid);
+    }
+    if (FLAGS_check)
+        return static_cast<int>(ExitCode::Success);
+    return run(settings.value(), *text);
+}
--- /dev/null
+++ b/src/apps/gateway/peermesh.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <foundation/clock.h>
+#include <foundation/metrics.h>
+#include <wire/endpoint.h>
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Gateway {
+
+/**
+ * Connections to the other gateways. Each gateway connects to every other one and tells it what it has under way; it
+ * asks on the same connections for what the store holds.
+ */
+class PeerMesh {
+public:
+    struct Handlers {
+        /** Takes in what a peer has under way. */
+        std::function<void(const std::string& peer, const Wire::PeerLoad&)> onLoad;
+        /** Called when a peer tells nothing any more. */
+        std::function<void(const std::string& peer)> onLost;
+        std::function<Wire::KnowledgeReply(const Wire::KnowledgeQuery&)> onQuery;
+        std::function<void(const Wire::KnowledgeReply&)> onReply;
+        std::function<void(const Wire::SuspectNotice&)> onSuspects;
+        /** @return everything this process has under way. */
+        std::function<Wire::PeerLoad()> wholeLoad;
+        /** @return the suspects that this process knows. */
+        std::function<Wire::SuspectNotice()> suspects;
+        /** Called when the number of known gateways may have changed. */
+        std::function<void()> onMembersChanged;
+    };
+
+    /**
+     * @param self the name of this process.
+     * @param address where it takes connections of its peers.
+     */
+    PeerMesh(asio::io_context& context, const Foundation::Clock& clock, std::string self, std::string address,
+        Handlers handlers);
+
+    /** Starts to listen. @return nothing, or SettingsInvalid. */
+    Foundation::Result<void> listen(std::string_view ip, std::uint16_t port);
+
+    /** Sets the gateways that are known from elsewhere, by name. */
+    void setMembers(const std::map<std::string, std::string>& addresses);
+
+    /** Adds addresses of gateways whose names are not known. */
+    void setSeeds(const std::vector<std::string>& addresses);
+
+    /** Does what is due. */
+    void tick();
+
+    /** Sends a message to every connected peer. */
+    void broadcast(const Wire::Message& message);
+
+    /** Asks one connected peer, another one each time. @return whether there is one. */
+    bool ask(const Wire::KnowledgeQuery& query);
+
+    /** @return the gateways that are known, this one included. */
+    std::size_t memberCount() const;
+
+    /** Drops the connections, which may be dead after a suspension of the machine. */
+    void reset();
+
+private:
+    /** The connection that this process opened to a peer. */
+    struct Outgoing {
+        Wire::ConnectionId connection = 0;
+        bool isOpen = false;
+        Foundation::TimePoint lastHeard {};
+        Foundation::TimePoint nextTry {};
+        int failures = 0;
+    };
+
+    /** A connection that a peer opened. */
+    struct Incoming {
+        std::string process;
+        Foundation::TimePoint lastHeard {};
+    };
+
+    void connect(const std::string& address, Outgoing& outgoing);
+    void onOutgoingOpen(Wire::ConnectionId connection);
+    void onOutgoingMessage(Wire::ConnectionId connection, Wire::Message message);
+    void onOutgoingClosed(Wire::ConnectionId connection);
+    void onIncomingMessage(Wire::ConnectionId connection, Wire::Message message);
+    void onIncomingClosed(Wire::ConnectionId connection);
+    Outgoing* findOutgoing(Wire::ConnectionId connection, std::string* address = nullptr);
+    void dropSilent(Foundation::TimePoint now);
+
+    const Foundation::Clock& clock;
+    std::string self;
+    std::string address;
+    Handlers handlers;
+    std::map<std::string, std::string> members;
+    std::map<std::string, Outgoing> outgoing;
+    std::map<Wire::ConnectionId, Incoming> incoming;
+    Foundation::TimePoint nextHeartbeat {};
+    std::size_t lastAsked = 0;
+    Wire::ServerEndpoint server;
+    Wire::ClientEndpoint client;
+};
+
+} // namespace Gateway
--- a/src/libs/foundation/clock.h
+++ b/src/libs/foundation/clock.h
@@ -23,6 +23,12 @@
     TimePoint now() const override;
 };
 
+/** A clock that also runs while the machine is suspended. */
+class BootClock final : public Clock {
+public:
+    TimePoint now() const override;
+};
+
 class ManualClock final : public Clock {
 public:
     TimePoint now() const override;
--- /dev/null
+++ b/src/libs/knowledge/keyedrecords.cpp
@@ -0,0 +1,66 @@
+#include "keyedrecords.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Knowledge {
+
+KeyedRecords::KeyedRecords(ChangeHandler onChange)
+    : onChange(std::move(onChange))
+{
+}
+
+bool KeyedRecords::merge(KeyedRecord record)
+{
+    const auto found = this->records.find(record.key);
+    if (found != this->records.end() && found->second.offset >= record.offset)
+        return false;
+    std::string key = record.key;
+    KeyedRecord& kept = this->records[std::move(key)];
+    kept = std::move(record);
+    if (this->onChange)
+        this->onChange(kept);
+    return true;
+}
+
+void KeyedRecords::mergeRun(std::vector<KeyedRecord> run, std::uint64_t end)
+{
+    for (KeyedRecord& record : run)
+        this->merge(std::move(record));
+    this->knownEnd = std::max(this->knownEnd, end);
+}
+
+void KeyedRecords::mergeListing(std::vector<KeyedRecord> listing, std::uint64_t end)
+{
+    std::set<std::string, std::less<>> listed;
+    for (KeyedRecord& record : listing) {
+        listed.insert(record.key);
+        this->merge(std::move(record));
+    }
+    std::vector<KeyedRecord> dropped;
+    for (const auto& [key, record] : this->records) {
+        if (record.value && record.offset < end && !listed.contains(key))
+            dropped.push_back({ key, std::nullopt, end - 1 });
+    }
+    for (KeyedRecord& record : dropped)
+        this->merge(std::move(record));
+    this->knownEnd = std::max(this->knownEnd, end);
+}
+
+std::vector<KeyedRecord> KeyedRecords::newerThan(std::uint64_t offset) const
+{
+    std::vector<KeyedRecord> newer;
+    for (const auto& [key, record] : this->records) {
+        if (record.offset >= offset)
+            newer.push_back(record);
+    }
+    return newer;
+}
+
+const KeyedRecord* KeyedRecords::find(std::string_view key) const
+{
+    const auto found = this->records.find(key);
+    return found == this->records.end() || !found->second.value ? nullptr : &found->second;
+}
+
+} // namespace Knowledge
--- /dev/null
+++ b/src/libs/membership/upstreamdirectory.cpp
@@ -0,0 +1,114 @@
+#include "upstreamdirectory.h"
+
+#include <algorithm>
+
+namespace Membership {
+
+UpstreamDirectory::UpstreamDirectory(ChangeHandler onChange)
+    : onChange(std::move(onChange))
+{
+}
+
+void UpstreamDirectory::update(const UpstreamEntry& entry, Foundation::TimePoint now)
+{
+    const auto found = this->upstreams.find(entry.id);
+    if (found == this->upstreams.end()) {
+        Upstream& added = this->upstreams[entry.id];
+        added.entry = entry;
+        added.coldUntil = now + entry.coldLeft;
+        this->report(Change::Added, added);
+        return;
+    }
+    Upstream& known = found->second;
+    if (entry.born < known.entry.born)
+        return;
+    const bool isRestart = entry.born != known.entry.born;
+    const bool beginsToDrain = entry.isDraining && (isRestart || !known.entry.isDraining);
+    if (isRestart || entry.address != known.entry.address)
+        known.isMisaddressed = false;
+    known.entry = entry;
+    known.coldUntil = now + entry.coldLeft;
+    known.missingUntil.reset();
+    if (isRestart)
+        this->report(Change::Restarted, known);
+    if (beginsToDrain)
+        this->report(Change::Drained, known);
+}
+
+void UpstreamDirectory::remove(std::string_view id, Foundation::TimePoint now)
+{
+    const auto found = this->upstreams.find(id);
+    if (found == this->upstreams.end())
+        return;
+    if (now < this->outageGraceEnd && !found->second.entry.isDraining) {
+        found->second.missingUntil = this->outageGraceEnd;
+        this->report(Change::Missing, found->second);
+        return;
+    }
+    const Upstream removed = std::move(found->second);
+    this->upstreams.erase(found);
+    this->report(Change::Removed, removed);
+}
+
+void UpstreamDirectory::noteOutage(Foundation::TimePoint graceEnd)
+{
+    this->outageGraceEnd = std::max(this->outageGraceEnd, graceEnd);
+    for (auto& [id, upstream] : this->upstreams) {
+        if (upstream.missingUntil)
+            upstream.missingUntil = this->outageGraceEnd;
+    }
+}
+
+void UpstreamDirectory::expire(Foundation::TimePoint now)
+{
+    for (auto next = this->upstreams.begin(); next != this->upstreams.end();) {
+        const auto current = next++;
+        if (!current->second.missingUntil || now < *current->second.missingUntil)
+            continue;
+        const Upstream removed = std::move(current->second);
+        this->upstreams.erase(current);
+        this->report(Change::Removed, removed);
+    }
+}
+
+void UpstreamDirectory::noteMisaddressed(std::string_view id)
+{
+    const auto found = this->upstreams.find(id);
+    if (found != this->upstreams.end())
+        found->second.isMisaddressed = true;
+}
+
+void UpstreamDirectory::setEvacuated(std::set<std::string, std::less<>> failureDomains)
+{
+    this->evacuatedDomains = std::move(failureDomains);
+}
+
+bool UpstreamDirectory::takesRequests(const Upstream& upstream) const
+{
+    return !upstream.entry.isDraining && !upstream.isMisaddressed
+        && !this->evacuatedDomains.contains(upstream.entry.failureDomain);
+}
+
+std::vector<const Upstream*> UpstreamDirectory::usable(std::string_view service) const
+{
+    std::vector<const Upstream*> list;
+    for (const auto& [id, upstream] : this->upstreams) {
+        if (upstream.entry.service == service && this->takesRequests(upstream))
+            list.push_back(&upstream);
+    }
+    return list;
+}
+
+const Upstream* UpstreamDirectory::find(std::string_view id) const
+{
+    const auto found = this->upstreams.find(id);
+    return found == this->upstreams.end() ? nullptr : &found->second;
+}
+
+void UpstreamDirectory::report(Change change, const Upstream& upstream) const
+{
+    if (this->onChange)
+        this->onChange(change, upstream);
+}
+
+} // namespace Membership
--- /dev/null
+++ b/src/libs/placement/enginemodel.cpp
@@ -0,0 +1,25 @@
+#include "enginemodel.h"
+
+namespace Placement {
+
+EngineModel::EngineModel(const Policy::EngineProfile& profile)
+    : engine(profile)
+{
+}
+
+Foundation::Duration EngineModel::readingTime(std::int64_t promptTokens, std::size_t parts) const
+{
+    const double tokens = static_cast<double>(promptTokens);
+    const double millionPairs = tokens * tokens / 2e6;
+    const double wholeMs = tokens / this->engine.promptTokensPerMs + millionPairs * this->engine.msPerMillionPairs;
+    return Foundation::fromSeconds(wholeMs / 1e3 / static_cast<double>(parts));
+}
+
+Foundation::Duration EngineModel::passTime(std::int64_t requests, std::int64_t contextTokens) const
+{
+    const double stepMs = this->engine.stepMs + this->engine.stepMsPerRequest * static_cast<double>(requests)
+        + this->engine.stepMsPerThousandContextTokens * static_cast<double>(contextTokens) / 1e3;
+    return Foundation::fromSeconds(stepMs * this->engine.stepsPerPass / 1e3);
+}
+
+} // namespace Placement
--- /dev/null
+++ b/src/libs/placement/placementplanner.cpp
@@ -0,0 +1,251 @@
+#include "placementplanner.h"
+
+#include <algorithm>
+#include <array>
+#include <numeric>
+
+namespace Placement {
+
+namespace {
+
+using Foundation::Duration;
+
+// The part of the longest pause that a pass may fill. The rest is for the way to the caller and for what the model
+// does not know.
+constexpr double pauseUse = 0.85;
+// The part of a pause that the reading of a short prompt may fill.
+constexpr double shortPromptShare = 0.4;
+// Reading time that is worth as much as a request of no length.
+constexpr Duration weightUnit = std::chrono::milliseconds(250);
+// An answer after its goal is worth about a quarter to its caller.
+constexpr double lateLoss = 0.75;
+// Streams on an engine that already holds them up too long are mostly late already.
+constexpr double repeatedHarm = 0.2;
+// Slots that short prompts fill on an engine before they go on to the next, so that bursts find room.
+constexpr double packedSlots = 0.75;
+// Costs of placing a short prompt, in parts of its weight: to be the first of its kind on an engine, on an engine that
+// is packed, and beside streams of long prompts, whose like will be read there.
+constexpr double openingCost = 0.3;
+constexpr double packedCost = 0.6;
+constexpr double besideLongCost = 0.4;
+// A whole goal of delay costs this part of the weight even if the answer is in time.
+constexpr double delayCost = 0.2;
+// The numbers of engines that read one prompt; the protocol of the engines takes 16 helpers at most.
+constexpr auto partCounts = std::to_array<std::size_t>({ 1, 2, 3, 4, 6, 8, 10, 12, 14, 16, 17 });
+
+double toMs(Duration duration) { return Foundation::toSeconds(duration) * 1e3; }
+
+class Planning {
+public:
+    Planning(const EngineModel& model, std::span<const EngineCandidate> candidates, const PromptDemand& demand)
+        : model(model)
+        , candidates(candidates)
+        , demand(demand)
+        , isShortPrompt(isShort(model, demand))
+    {
+        for (const EngineCandidate& candidate : candidates) {
+            this->passes.push_back(toMs(model.passTime(candidate.load->requests, candidate.load->tokens)));
+            this->backlogs.push_back(static_cast<double>(candidate.load->readingUs) / 1e3 * candidate.slowness);
+        }
+    }
+
+    std::optional<Placement> best()
+    {
+        std::optional<Placement> chosen;
+        double lowest = 0;
+        for (const std::size_t parts : partCounts) {
+            if (parts > this->candidates.size())
+                break;
+            auto placement = this->placeOn(parts);
+            if (!placement)
+                continue;
+            const double score = this->scoreOf(*placement);
+            if (!chosen || score < lowest) {
+                chosen = std::move(placement);
+                lowest = score;
+            }
+            if (this->isShortPrompt && chosen->harm == 0)
+                break;
+        }
+        return chosen;
+    }
+
+private:
+    bool canRun(std::size_t index) const
+    {
+        const EngineCandidate& candidate = this->candidates[index];
+        const std::int64_t needed = this->demand.promptTokens + this->demand.outputTokens;
+        return candidate.mayRun && candidate.load->requests < candidate.slots
+            && candidate.load->tokens + needed <= this->model.profile().memoryTokens;
+    }
+
+    // What the streams on an engine are worth that a pass with so much more reading would hold up.
+    double harmAt(std::size_t index, double partMs) const
+    {
+        const double before = this->passes[index] + this->backlogs[index];
+        const double after = before + partMs * this->candidates[index].slowness;
+        double harm = 0;
+        for (const auto& [gapMs, group] : this->candidates[index].load->groups) {
+            const double limit = pauseUse * static_cast<double>(gapMs);
+            if (after <= limit)
+                continue;
+            harm += static_cast<double>(group.weight) / 1e3 * (before <= limit ? 1 : repeatedHarm);
+        }
+        return harm;
+    }
+
+    std::int64_t streamsWithGapUpTo(std::size_t index, Duration gap) const
+    {
+        std::int64_t count = 0;
+        for (const auto& [gapMs, group] : this->candidates[index].load->groups) {
+            if (gapMs <= Foundation::toMilliseconds(gap))
+                count += group.count;
+        }
+        return count;
+    }
+
+    // The cost of running a short prompt on an engine, beyond harm and delay.
+    double packingCost(std::size_t index) const
+    {
+        const EngineCandidate& candidate = this->candidates[index];
+        const std::int64_t alike = this->streamsWithGapUpTo(index, this->demand.gap);
+        std::int64_t all = 0;
+        for (const auto& [gap, group] : candidate.load->groups)
+            all += group.count;
+        double cost = alike == 0 ? openingCost : 0;
+        if (static_cast<double>(candidate.load->requests) >= packedSlots * candidate.slots)
+            cost += packedCost;
+        if (all > alike)
+            cost += besideLongCost;
+        return cost * this->demand.weight;
+    }
+
+    // Orders engines for one more part; the least is the best.
+    double readerCost(std::size_t index, double partMs) const
+    {
+        const double position = static_cast<double>(index) / static_cast<double>(this->candidates.size());
+        const double turn = this->isShortPrompt ? position : 1 - position;
+        return this->harmAt(index, partMs) + this->delayCostOf(this->backlogs[index] + this->passes[index])
+            + turn * 1e-3 * this->demand.weight;
+    }
+
+    double delayCostOf(double ms) const
+    {
+        const double goalMs = std::max(50.0, toMs(this->demand.goalLeft));
+        return delayCost * this->demand.weight * std::min(2.0, ms / goalMs);
+    }
+
+    std::optional<Placement> placeOn(std::size_t parts) const
+    {
+        const double partMs = toMs(this->model.readingTime(this->demand.promptTokens, parts));
+        std::vector<double> costs(this->candidates.size());
+        for (std::size_t i = 0; i < costs.size(); ++i)
+            costs[i] = this->readerCost(i, partMs);
+        const auto runner = this->chooseRunner(costs);
+        if (!runner)
+            return std::nullopt;
+        Placement placement;
+        placement.upstream = *runner;
+        placement.helpers = this->chooseHelpers(costs, *runner, parts - 1);
+        if (placement.helpers.size() != parts - 1)
+            return std::nullopt;
+        this->predict(placement, partMs);
+        return placement;
+    }
+
+    std::optional<std::size_t> chooseRunner(std::span<const double> costs) const
+    {
+        std::optional<std::size_t> chosen;
+        double lowest = 0;
+        for (std::size_t i = 0; i < costs.size(); ++i) {
+            if (!this->canRun(i))
+                continue;
+            const double cost = costs[i] + (this->isShortPrompt ? this->packingCost(i) : this->memoryCost(i));
+            if (!chosen || cost < lowest) {
+                chosen = i;
+                lowest = cost;
+            }
+        }
+        return chosen;
+    }
+
+    // Long prompts spread over the memory, so that the next one finds room.
+    double memoryCost(std::size_t index) const
+    {
+        const double memory = static_cast<double>(std::max<std::int64_t>(1, this->model.profile().memoryTokens));
+        return 0.1 * this->demand.weight * static_cast<double>(this->candidates[index].load->tokens) / memory;
+    }
+
+    std::vector<std::size_t> chooseHelpers(std::span<const double> costs, std::size_t runner, std::size_t count) const
+    {
+        std::vector<std::size_t> others;
+        for (std::size_t i = 0; i < costs.size(); ++i) {
+            if (i != runner && this->candidates[i].mayHelp)
+                others.push_back(i);
+        }
+        count = std::min(count, others.size());
+        std::ranges::partial_sort(others, others.begin() + static_cast<std::ptrdiff_t>(count), std::ranges::less {},
+            [&costs](std::size_t index) { return costs[index]; });
+        others.resize(count);
+        return others;
+    }
+
+    void predict(Placement& placement, double partMs) const
+    {
+        placement.partTime = Foundation::fromSeconds(partMs / 1e3);
+        double firstEventMs = 0;
+        double aheadMs = 0;
+        const auto addReader = [&](std::size_t index) {
+            const double reading = this->backlogs[index] + partMs * this->candidates[index].slowness;
+            firstEventMs = std::max(firstEventMs, reading + this->passes[index]);
+            aheadMs = std::max(aheadMs, this->backlogs[index]);
+            placement.harm += this->harmAt(index, partMs);
+        };
+        addReader(placement.upstream);
+        for (const std::size_t helper : placement.helpers)
+            addReader(helper);
+        // The first event comes with the pass after the one that was under way.
+        firstEventMs += this->passes[placement.upstream] * this->candidates[placement.upstream].slowness;
+        placement.firstEvent = Foundation::fromSeconds(firstEventMs / 1e3);
+        placement.readingAhead = Foundation::fromSeconds(aheadMs / 1e3);
+    }
+
+    double scoreOf(const Placement& placement) const
+    {
+        const bool isLate = placement.firstEvent > this->demand.goalLeft;
+        const double late = isLate ? lateLoss * this->demand.weight : 0;
+        return placement.harm + late + this->delayCostOf(toMs(placement.firstEvent));
+    }
+
+    const EngineModel& model;
+    std::span<const EngineCandidate> candidates;
+    const PromptDemand& demand;
+    const bool isShortPrompt;
+    /** The time of a pass at each candidate without more reading, in ms. */
+    std::vector<double> passes;
+    /** The reading that is ahead at each candidate, in ms. */
+    std::vector<double> backlogs;
+};
+
+} // namespace
+
+double weightOf(const EngineModel& model, std::int64_t promptTokens)
+{
+    return 1 + Foundation::toSeconds(model.readingTime(promptTokens)) / Foundation::toSeconds(weightUnit);
+}
+
+bool isShort(const EngineModel& model, const PromptDemand& demand)
+{
+    const Duration reading = model.readingTime(demand.promptTokens);
+    return Foundation::toSeconds(reading) <= shortPromptShare * Foundation::toSeconds(demand.gap);
+}
+
+std::optional<Placement> placePrompt(
+    const EngineModel& model, std::span<const EngineCandidate> candidates, const PromptDemand& demand)
+{
+    if (candidates.empty())
+        return std::nullopt;
+    return Planning(model, candidates, demand).best();
+}
+
+} // namespace Placement
--- /dev/null
+++ b/src/libs/placement/placementplanner.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "enginemodel.h"
+#include "upstreamshare.h"
+
+#include <foundation/clock.h>
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace Placement {
+
+/** An engine that may take a prompt, or a part of one to read. */
+struct EngineCandidate {
+    /** What all processes have under way there; must outlive the planning. */
+    const UpstreamShare* load = nullptr;
+    int slots = 1;
+    /** How many times longer than the model says the engine takes. */
+    double slowness = 1;
+    /** Whether the engine may run the request; otherwise it may only help to read. */
+    bool mayRun = true;
+    /** Whether the engine may help others to read. */
+    bool mayHelp = true;
+};
+
+/** What is known of a prompt that waits for an engine. */
+struct PromptDemand {
+    std::int64_t promptTokens = 0;
+    std::int64_t outputTokens = 0;
+    /** The longest pause that the caller expects. */
+    Foundation::Duration gap {};
+    /** The time left until the first event is late; negative if it is. */
+    Foundation::Duration goalLeft {};
+    /** What the request is worth beside others. */
+    double weight = 1;
+};
+
+struct Placement {
+    /** The index of the candidate that runs the request. */
+    std::size_t upstream = 0;
+    /** The indices of candidates that help to read. */
+    std::vector<std::size_t> helpers;
+    /** The time that each of them reads. */
+    Foundation::Duration partTime {};
+    Foundation::Duration firstEvent {};
+    /** The longest reading that is ahead of this one at any of the engines. */
+    Foundation::Duration readingAhead {};
+    /** What the streams are worth that the reading would hold up for longer than their callers expect. */
+    double harm = 0;
+};
+
+/**
+ * Gives the weight of a prompt beside others, which follows the time that it takes to read.
+ * @param model the engine's model.
+ * @param promptTokens the prompt's tokens.
+ */
+double weightOf(const EngineModel& model, std::int64_t promptTokens);
+
+/**
+ * Places a prompt. Answers the load of short prompts that must not be held up by long ones read beside them: short
+ * prompts are packed onto the first engines, long ones are read in even parts by as many of the others as keeps the
+ * harm to streams under way least.
+ * @param model the engines' model.
+ * @param candidates the engines, in an order that all processes share.
+ * @param demand the prompt.
+ * @return the best placement; none if no engine has a free slot and the memory.
+ */
+std::optional<Placement> placePrompt(
+    const EngineModel& model, std::span<const EngineCandidate> candidates, const PromptDemand& demand);
+
+/** @return whether a prompt is so short that any engine may read it beside streams. */
+bool isShort(const EngineModel& model, const PromptDemand& demand);
+
+} // namespace Placement
--- /dev/null
+++ b/src/libs/placement/waitingline.cpp
@@ -0,0 +1,102 @@
+#include "waitingline.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace Placement {
+
+namespace {
+
+using Foundation::Duration;
+using Foundation::ResultCode;
+using Foundation::TimePoint;
+
+// A prompt whose goal is nearer than this is not held back any longer.
+constexpr Duration decisionSlack = std::chrono::milliseconds(60);
+// Reading that may be ahead of a prompt at its engines. More is kept here, where a more urgent prompt can still pass.
+constexpr Duration readAheadLimit = std::chrono::milliseconds(400);
+// Harm below this part of a prompt's weight is no reason to wait.
+constexpr double harmless = 0.05;
+// What an answer in time is worth beyond a late one, and what a late one is worth, in parts of the weight.
+constexpr double inTimeWorth = 0.75;
+constexpr double lateWorth = 0.25;
+// The least time to come back after, so that callers do not turn around at once.
+constexpr Duration leastRetryAfter = std::chrono::milliseconds(200);
+// Prompts that one review looks at; the others wait for the next.
+constexpr std::size_t reviewLimit = 64;
+// The engines also write while they read, which takes about this part of their time.
+constexpr double readingEfficiency = 0.75;
+
+Duration scaled(Duration duration, double factor)
+{
+    return Foundation::fromSeconds(Foundation::toSeconds(duration) * factor);
+}
+
+} // namespace
+
+WaitingLine::WaitingLine(EngineModel model)
+    : engines(model)
+{
+}
+
+void WaitingLine::add(WaitingPrompt prompt)
+{
+    const auto place = std::ranges::find_if(
+        this->prompts, [&](const WaitingPrompt& other) { return this->comesBefore(prompt, other); });
+    this->prompts.insert(place, std::move(prompt));
+}
+
+void WaitingLine::remove(WaitingId id)
+{
+    std::erase_if(this->prompts, [id](const WaitingPrompt& prompt) { return prompt.id == id; });
+}
+
+bool WaitingLine::comesBefore(const WaitingPrompt& a, const WaitingPrompt& b) const
+{
+    const auto key = [this](const WaitingPrompt& prompt) {
+        return std::tuple(prompt.priority, !isShort(this->engines, prompt.demand), prompt.goalAt);
+    };
+    return key(a) < key(b);
+}
+
+WaitingLine::Verdict WaitingLine::judge(const WaitingPrompt& prompt, const Placement& placement) const
+{
+    const double weight = prompt.demand.weight;
+    const Duration slack = prompt.demand.goalLeft - placement.firstEvent;
+    const bool waitsForNothing = placement.harm <= harmless * weight && placement.readingAhead <= readAheadLimit;
+    if (waitsForNothing)
+        return Verdict::Run;
+    if (slack > decisionSlack)
+        return Verdict::Wait;
+    const bool isInTime = slack >= Duration::zero();
+    return placement.harm <= (isInTime ? inTimeWorth : lateWorth) * weight ? Verdict::Run : Verdict::Wait;
+}
+
+void WaitingLine::review(TimePoint now, std::size_t engineCount, const WaitingLineOwner& owner)
+{
+    const std::vector<WaitingPrompt> snapshot(this->prompts.begin(),
+        this->prompts.begin() + static_cast<std::ptrdiff_t>(std::min(reviewLimit, this->prompts.size())));
+    Duration ahead {};
+    const double engineShare = 1 / (readingEfficiency * static_cast<double>(std::max<std::size_t>(1, engineCount)));
+    for (WaitingPrompt prompt : snapshot) {
+        prompt.demand.goalLeft = prompt.goalAt - now;
+        const Duration reading = this->engines.readingTime(prompt.demand.promptTokens);
+        const Duration wait = scaled(ahead + reading, engineShare);
+        const Duration comeBackAfter = std::max(leastRetryAfter, wait);
+        if (engineCount == 0 || now + wait > prompt.patienceEnd) {
+            this->remove(prompt.id);
+            const ResultCode code = engineCount == 0 ? ResultCode::NoUpstream : ResultCode::DeadlineUnreachable;
+            owner.refuse(prompt.id, code, comeBackAfter);
+            continue;
+        }
+        const auto placement = owner.place(prompt);
+        if (placement && this->judge(prompt, *placement) == Verdict::Run) {
+            this->remove(prompt.id);
+            owner.dispatch(prompt.id, *placement);
+            continue;
+        }
+        ahead += reading;
+    }
+}
+
+} // namespace Placement
--- a/src/libs/platform/httptransfers.cpp
+++ b/src/libs/platform/httptransfers.cpp
@@ -3,6 +3,9 @@
 #include <asio.hpp>
 #include <curl/curl.h>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <map>
 
@@ -10,7 +13,8 @@
 
 namespace {
 
-constexpr long connectTimeoutMs = 1'000;
+// libcurl's own default of 64 KB for each call that sends a body is more than most bodies here.
+constexpr long uploadBufferBytes = 16 * 1024;
 constexpr long maximumConnections = 4'096;
 
 struct CurlDeleter {
@@ -54,8 +58,41 @@
         return;
     transfer.headDelivered = true;
     asio::post(*transfer.context,
-        [onHead = transfer.handlers.onHead, status = statusOf(transfer.easy.get()),
-            type = contentTypeOf(transfer.easy.get())] { onHead(status, type); });
+        [onHead = transfer.handlers.onHead,
+            start = AnswerStart { statusOf(transfer.easy.get()), contentTypeOf(transfer.easy.get()),
+                transfer.result.headers }]() mutable { onHead(std::move(start)); });
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t\r\n";
+    const std::size_t first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* user)
+{
+    auto& headers = static_cast<Transfer*>(user)->result.headers;
+    const std::string_view line(data, size * count);
+    if (line.starts_with("HTTP/")) {
+        // An interim answer came before this one.
+        headers.clear();
+        return line.size();
+    }
+    const std::size_t colon = line.find(':');
+    if (colon != std::string_view::npos)
+        headers.push_back({ std::string(line.substr(0, colon)), std::string(trimmed(line.substr(colon + 1))) });
+    return line.size();
+}
+
+int onSocketMade(void* user, curl_socket_t socket, curlsocktype)
+{
+    const unsigned timeoutMs = static_cast<unsigned>(static_cast<Transfer*>(user)->call.unacknowledgedTimeout.count());
+    // Without the bound a lost connection is noticed by the call's own timeout, so a failure here changes little.
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeoutMs, sizeof(timeoutMs));
+    return CURL_SOCKOPT_OK;
 }
 
 std::size_t onBody(char* data, std::size_t size, std::size_t count, void* user)
@@ -82,8 +119,12 @@
     return bytes;
 }
 
-CallEnd toCallEnd(CURLcode code)
+CallEnd toCallEnd(CURLcode code, CURL* easy)
 {
+    curl_off_t sendingSince = 0;
+    curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &sendingSince);
+    if (code == CURLE_OPERATION_TIMEDOUT && sendingSince == 0)
+        return CallEnd::NotConnected;
     switch (code) {
     case CURLE_OK:
         return CallEnd::Complete;
@@ -96,6 +137,12 @@
     }
 }
 
+void useOwnConnection(CURL* easy)
+{
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+}
+
 // libcurl sends a call again by itself when a kept connection breaks before the first byte of the answer. It cannot
 // do so after it has read a part of the body from a function that does not rewind; a call without a body needs a
 // connection of its own.
@@ -104,10 +151,8 @@
     CURL* const easy = transfer.easy.get();
     curl_easy_setopt(easy, CURLOPT_READFUNCTION, &onReadBody);
     curl_easy_setopt(easy, CURLOPT_READDATA, &transfer);
-    if (!transfer.call.body.empty())
-        return;
-    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    if (transfer.call.body.empty())
+        useOwnConnection(easy);
 }
 
 void setBody(Transfer& transfer)
@@ -132,7 +177,19 @@
     const long timeoutMs = std::max<long>(1, static_cast<long>(Foundation::toMilliseconds(call.timeout)));
     curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeoutMs);
-    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, connectTimeoutMs);
+    const auto connectTimeoutMs = static_cast<long>(Foundation::toMilliseconds(call.connectTimeout));
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, std::max<long>(1, connectTimeoutMs));
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(call.maximumIdleAge.count()));
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, uploadBufferBytes);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+    if (call.unacknowledgedTimeout.count() > 0) {
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &onSocketMade);
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &transfer);
+    }
+    if (call.connectionUse == ConnectionUse::Own)
+        useOwnConnection(easy);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &onBody);
@@ -150,7 +207,7 @@
 
 void deliverEnd(Transfer& transfer, CURLcode code)
 {
-    transfer.result.end = toCallEnd(code);
+    transfer.result.end = toCallEnd(code, transfer.easy.get());
     transfer.result.status = statusOf(transfer.easy.get());
     transfer.result.contentType = contentTypeOf(transfer.easy.get());
     transfer.result.error = code == CURLE_OK ? "" : curl_easy_strerror(code);
--- a/src/libs/platform/httptransfers.h
+++ b/src/libs/platform/httptransfers.h
@@ -21,6 +21,18 @@
     Never,
 };
 
+/** How a call uses the connections that earlier calls left open. */
+enum class ConnectionUse : std::uint8_t {
+    Kept,
+    /** The call opens a connection for itself, so that nothing that a kept one may bring can touch it. */
+    Own,
+};
+
+struct HttpField {
+    std::string name;
+    std::string value;
+};
+
 struct HttpCall {
     std::string method = "GET";
     std::string url;
@@ -28,6 +40,13 @@
     std::string body;
     Foundation::Duration timeout = std::chrono::seconds(5);
     Resend resend = Resend::Allowed;
+    ConnectionUse connectionUse = ConnectionUse::Kept;
+    /** The longest time that the TCP handshake may take. */
+    Foundation::Duration connectTimeout = std::chrono::seconds(1);
+    /** A kept connection that has been idle for longer is not used. */
+    std::chrono::seconds maximumIdleAge { 118 };
+    /** How long sent bytes may stay without an acknowledgement before the connection counts as lost; 0: no bound. */
+    std::chrono::milliseconds unacknowledgedTimeout { 0 };
 };
 
 /** How far a call got before it ended. */
@@ -40,10 +59,18 @@
     Broken,
 };
 
+/** The first part of an answer. */
+struct AnswerStart {
+    int status = 0;
+    std::string contentType;
+    std::vector<HttpField> headers;
+};
+
 struct HttpCallResult {
     CallEnd end = CallEnd::Broken;
     int status = 0;
     std::string contentType;
+    std::vector<HttpField> headers;
     /** The whole body, if it was not delivered in parts. */
     std::string body;
     std::string error;
@@ -56,7 +83,7 @@
 using ResultHandler = std::function<void(HttpCallResult)>;
 
 struct StreamHandlers {
-    std::function<void(int status, std::string contentType)> onHead;
+    std::function<void(AnswerStart)> onHead;
     std::function<void(std::string data)> onData;
     ResultHandler onEnd;
 };
--- a/src/libs/quarantine/suspectregister.cpp
+++ b/src/libs/quarantine/suspectregister.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr std::size_t crashesUntilQuarantine = 2;
 constexpr std::size_t maximumSuspects = 4096;
 constexpr Foundation::Duration suspectLifetime = std::chrono::hours(6);
 
@@ -17,8 +16,9 @@
  * Remembers which requests were running when upstreams crashed. One crash makes a request a suspect, since a
  * bystander looks the same; completing clears it, and a second crash quarantines it.
  */
-SuspectRegister::SuspectRegister(const Foundation::Clock& clock)
+SuspectRegister::SuspectRegister(const Foundation::Clock& clock, std::size_t crashLimit)
     : clock(clock)
+    , crashLimit(crashLimit)
 {
 }
 
@@ -33,7 +33,7 @@
 void SuspectRegister::clear(std::string_view fingerprint)
 {
     const auto found = this->suspects.find(fingerprint);
-    if (found != this->suspects.end() && found->second.crashes.size() < crashesUntilQuarantine)
+    if (found != this->suspects.end() && found->second.crashes.size() < this->crashLimit)
         this->suspects.erase(found);
 }
 
@@ -44,7 +44,7 @@
         return Standing::Clear;
     if (this->clock.now() - found->second.noted >= suspectLifetime)
         return Standing::Clear;
-    return found->second.crashes.size() >= crashesUntilQuarantine ? Standing::Quarantined : Standing::Suspect;
+    return found->second.crashes.size() >= this->crashLimit ? Standing::Quarantined : Standing::Suspect;
 }
 
 std::string SuspectRegister::crashOf(std::string_view fingerprint) const
--- a/src/libs/quarantine/suspectregister.h
+++ b/src/libs/quarantine/suspectregister.h
@@ -33,8 +33,14 @@
 
 class SuspectRegister {
 public:
-    /** @param clock the time source; must outlive the register. */
-    explicit SuspectRegister(const Foundation::Clock& clock);
+    /** The crashes after which a request runs no more, unless told otherwise. */
+    static constexpr std::size_t defaultCrashLimit = 2;
+
+    /**
+     * @param clock the time source; must outlive the register.
+     * @param crashLimit the crashes after which a request runs no more.
+     */
+    explicit SuspectRegister(const Foundation::Clock& clock, std::size_t crashLimit = defaultCrashLimit);
 
     /**
      * Notes that a request was running at a crash. Repeats of one notice count once.
@@ -66,6 +72,7 @@
     void dropOld();
 
     const Foundation::Clock& clock;
+    std::size_t crashLimit;
     std::map<std::string, Suspect, std::less<>> suspects;
 };
 
--- /dev/null
+++ b/src/libs/relay/upstreamhealth.cpp
@@ -0,0 +1,77 @@
+#include "upstreamhealth.h"
+
+#include <algorithm>
+
+namespace Relay {
+
+namespace {
+
+using Foundation::Duration;
+
+constexpr Duration firstPause = std::chrono::milliseconds(400);
+constexpr Duration longestPause = std::chrono::seconds(4);
+// The weight of the newest attempt in the shares below.
+constexpr double newestWeight = 0.15;
+// An upstream that fails more than this part of its requests is left out, though some succeed.
+constexpr double failureShareLimit = 0.35;
+constexpr double slowestFactor = 6;
+
+Duration pauseAfter(int failuresInARow)
+{
+    Duration pause = firstPause;
+    for (int i = 1; i < failuresInARow && pause < longestPause; ++i)
+        pause *= 2;
+    return std::min(pause, longestPause);
+}
+
+} // namespace
+
+bool UpstreamHealth::note(std::string_view upstreamRun, Observation observation, Foundation::TimePoint now)
+{
+    Record& record = this->records[std::string(upstreamRun)];
+    const bool isFailure = observation != Observation::Answered;
+    record.failureShare += newestWeight * ((isFailure ? 1.0 : 0.0) - record.failureShare);
+    if (!isFailure) {
+        record.failuresInARow = 0;
+        return false;
+    }
+    // Attempts that were under way together fail together; they count once.
+    if (now < record.leftOutUntil)
+        return false;
+    ++record.failuresInARow;
+    const bool isDown = observation == Observation::Unreachable || observation == Observation::Broken;
+    if (!isDown && record.failureShare <= failureShareLimit)
+        return false;
+    record.leftOutUntil = now + pauseAfter(record.failuresInARow);
+    return true;
+}
+
+void UpstreamHealth::noteDelay(std::string_view upstreamRun, Duration expected, Duration seen)
+{
+    if (expected <= Duration::zero())
+        return;
+    Record& record = this->records[std::string(upstreamRun)];
+    const double factor = std::clamp(Foundation::toSeconds(seen) / Foundation::toSeconds(expected), 1.0, slowestFactor);
+    record.slowness += newestWeight * (factor - record.slowness);
+}
+
+bool UpstreamHealth::isUsable(std::string_view upstreamRun, Foundation::TimePoint now) const
+{
+    const auto found = this->records.find(upstreamRun);
+    return found == this->records.end() || now >= found->second.leftOutUntil;
+}
+
+double UpstreamHealth::slowness(std::string_view upstreamRun) const
+{
+    const auto found = this->records.find(upstreamRun);
+    return found == this->records.end() ? 1 : found->second.slowness;
+}
+
+void UpstreamHealth::forget(std::string_view upstreamRun)
+{
+    const auto found = this->records.find(upstreamRun);
+    if (found != this->records.end())
+        this->records.erase(found);
+}
+
+} // namespace Relay
--- a/src/libs/web/httprequest.h
+++ b/src/libs/web/httprequest.h
@@ -14,6 +14,8 @@
 /** A request as it arrived. */
 struct HttpRequest {
     std::string method;
+    /** The request target as it was sent: path and query. */
+    std::string target;
     std::string path;
     std::string query;
     std::vector<HttpHeader> headers;
@@ -40,6 +42,8 @@
     std::string contentType = "application/json";
     std::vector<HttpHeader> headers;
     std::string body;
+    /** Whether the connection is closed after the answer. */
+    bool closesConnection = false;
 };
 
 } // namespace Web
--- a/src/libs/web/httpserver.cpp
+++ b/src/libs/web/httpserver.cpp
@@ -70,7 +70,10 @@
             return;
         this->done();
         auto response = this->source->create_response(statusLine(reply.status));
-        response.append_header(restinio::http_field::content_type, reply.contentType);
+        if (reply.closesConnection)
+            response.connection_close();
+        if (!reply.contentType.empty())
+            response.append_header(restinio::http_field::content_type, reply.contentType);
         for (HttpHeader& header : reply.headers)
             response.append_header(std::move(header.name), std::move(header.value));
         response.set_body(std::move(reply.body));
@@ -83,7 +86,10 @@
             return;
         const std::lock_guard lock(this->streamMutex);
         this->stream.emplace(this->source->create_response<restinio::chunked_output_t>(statusLine(head.status)));
-        this->stream->append_header(restinio::http_field::content_type, head.contentType);
+        if (head.closesConnection)
+            this->stream->connection_close();
+        if (!head.contentType.empty())
+            this->stream->append_header(restinio::http_field::content_type, head.contentType);
         for (const HttpHeader& header : head.headers)
             this->stream->append_header(header.name, header.value);
         this->stream->flush();
@@ -154,6 +160,7 @@
     {
         const auto& header = this->source->header();
         this->parsed.method = header.method().c_str();
+        this->parsed.target = header.request_target();
         this->parsed.path = std::string(header.path());
         this->parsed.query = std::string(header.query());
         header.for_each_field([this](const auto& field) {
--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -54,6 +54,30 @@
         this->object[key] = std::move(list);
     }
 
+    void operator()(const char* key, const std::vector<Placement::UpstreamShare>& shares)
+    {
+        Json list = Json::array();
+        for (const Placement::UpstreamShare& share : shares) {
+            Json groups = Json::array();
+            for (const auto& [gap, group] : share.groups)
+                groups.push_back({ gap, group.count, group.weight });
+            list.push_back({ share.upstream, share.readingUs, share.requests, share.tokens, std::move(groups) });
+        }
+        this->object[key] = std::move(list);
+    }
+
+    void operator()(const char* key, const std::vector<Knowledge::KeyedRecord>& records)
+    {
+        Json list = Json::array();
+        for (const Knowledge::KeyedRecord& record : records) {
+            Json item = { record.key, record.offset };
+            if (record.value)
+                item.push_back(Json::binary(std::vector<std::uint8_t>(record.value->begin(), record.value->end())));
+            list.push_back(std::move(item));
+        }
+        this->object[key] = std::move(list);
+    }
+
     /** Bytes that need not be text. */
     void bytes(const char* key, const std::string& value)
     {
@@ -108,6 +132,37 @@
             crashes.push_back({ item.at(0).get<std::string>(), item.at(1).get<std::string>() });
     }
 
+    void operator()(const char* key, std::vector<Placement::UpstreamShare>& shares) const
+    {
+        const Json* const found = this->find(key);
+        if (!found)
+            return;
+        for (const Json& item : *found) {
+            Placement::UpstreamShare share { item.at(0).get<std::string>(), item.at(1).get<std::int64_t>(),
+                item.at(2).get<std::int64_t>(), item.at(3).get<std::int64_t>(), {} };
+            for (const Json& group : item.at(4))
+                share.groups[group.at(0).get<std::int64_t>()]
+                    = { group.at(1).get<std::int64_t>(), group.at(2).get<std::int64_t>() };
+            shares.push_back(std::move(share));
+        }
+    }
+
+    void operator()(const char* key, std::vector<Knowledge::KeyedRecord>& records) const
+    {
+        const Json* const found = this->find(key);
+        if (!found)
+            return;
+        for (const Json& item : *found) {
+            Knowledge::KeyedRecord record { item.at(0).get<std::string>(), std::nullopt,
+                item.at(1).get<std::uint64_t>() };
+            if (item.size() > 2) {
+                const auto& binary = item.at(2).get_ref<const Json::binary_t&>();
+                record.value = std::string(binary.begin(), binary.end());
+            }
+            records.push_back(std::move(record));
+        }
+    }
+
     void bytes(const char* key, std::string& value) const
     {
         const Json* const found = this->find(key);
@@ -300,6 +355,36 @@
 
 template <typename V> void visit(V&& visitor, MessageOf<Goodbye> auto& m) { visitor("code", m.code); }
 
+template <typename V> void visit(V&& visitor, MessageOf<PeerHello> auto& m)
+{
+    visitor("protocol", m.protocol);
+    visitor("process", m.process);
+    visitor("address", m.address);
+}
+
+template <typename V> void visit(V&& visitor, MessageOf<PeerLoad> auto& m)
+{
+    visitor("complete", m.isComplete);
+    visitor("shares", m.shares);
+}
+
+template <typename V> void visit(V&& visitor, MessageOf<KnowledgeQuery> auto& m)
+{
+    visitor("operator", m.operatorEnd);
+    visitor("upstreams", m.upstreamEnd);
+}
+
+template <typename V> void visit(V&& visitor, MessageOf<KnowledgeReply> auto& m)
+{
+    visitor("operator", m.operatorRecords);
+    visitor("upstreams", m.upstreamRecords);
+    visitor("operatorEnd", m.operatorEnd);
+    visitor("upstreamEnd", m.upstreamEnd);
+    visitor("known", m.isKnown);
+    visitor("age", m.ageMs);
+    visitor("grace", m.graceMs);
+}
+
 template <typename T> constexpr bool belongsToAttempt = requires(T message) { message.attempt; };
 
 template <typename T> Message readMessage(const Json& object)
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -2,7 +2,9 @@
 
 #include <configuration/lengthclass.h>
 #include <foundation/resultcode.h>
+#include <knowledge/keyedrecords.h>
 #include <membership/upstreamload.h>
+#include <placement/upstreamshare.h>
 #include <quarantine/suspectregister.h>
 
 #include <cstdint>
@@ -171,8 +173,42 @@
     Foundation::ResultCode code = Foundation::ResultCode::Ok;
 };
 
+/** The first message of a gateway to another one. */
+struct PeerHello {
+    std::uint64_t protocol = 0;
+    std::string process;
+    /** Where the sender takes connections of other gateways. */
+    std::string address;
+};
+
+/** What a gateway has under way; sent after each change, and whole at intervals. */
+struct PeerLoad {
+    /** Whether the sender has nothing under way at upstreams that are not named. */
+    bool isComplete = false;
+    std::vector<Placement::UpstreamShare> shares;
+};
+
+/** Asks a gateway for what it has read from the store; sent by one that the store does not serve. */
+struct KnowledgeQuery {
+    /** The ends up to which the sender knows the topics of the operator and of the upstreams. */
+    std::uint64_t operatorEnd = 0;
+    std::uint64_t upstreamEnd = 0;
+};
+
+struct KnowledgeReply {
+    std::vector<Knowledge::KeyedRecord> operatorRecords;
+    std::vector<Knowledge::KeyedRecord> upstreamRecords;
+    std::uint64_t operatorEnd = 0;
+    std::uint64_t upstreamEnd = 0;
+    /** Whether the sender knows the operator's topic, and the greatest age of that, in ms. */
+    bool isKnown = false;
+    std::int64_t ageMs = 0;
+    /** How much longer entries of upstreams that lapsed in an outage may come back, in ms. */
+    std::int64_t graceMs = 0;
+};
+
 using Message = std::variant<Hello, Welcome, Heartbeat, LoadReport, ConfigurationRequest, ConfigurationDifference,
     SuspectNotice, Offer, Granted, BodyChunk, BodyAcknowledgement, Refused, AnswerHead, AnswerChunk, AnswerEnd, Cancel,
-    Revoke, RevokeResult, Resume, Goodbye>;
+    Revoke, RevokeResult, Resume, Goodbye, PeerHello, PeerLoad, KnowledgeQuery, KnowledgeReply>;
 
 } // namespace Wire
--- a/src/tools/load/loadgenerator.cpp
+++ b/src/tools/load/loadgenerator.cpp
@@ -69,7 +69,7 @@
         call.headers.push_back("Idempotency-Key: " + request.id);
     call.timeout = std::chrono::milliseconds(request.timeoutMs + patienceMs);
     Platform::StreamHandlers handlers;
-    handlers.onHead = [](int, const std::string&) {};
+    handlers.onHead = [](const Platform::AnswerStart&) {};
     handlers.onData = [this, index](const std::string& data) {
         Call& answer = this->calls[index];
         if (!answer.hasFirstByte)
