Pack short prompts and share long ones out over the other engines

Cause: catalogue reviews were read by one to three engines for seconds each, and captions stood on half of the engines with a few streams each, so no wide split was free of harm. Ruled out: too little capacity (the burst takes about nine of sixteen engines).

--- a/src/apps/agent/main.cpp
+++ b/src/apps/agent/main.cpp
@@ -37,7 +37,7 @@
 
 int run(const Agent::AgentSettings& settings)
 {
-    Foundation::startLogging("bluebell-agent", settings.process.instance, settings.process.logSeverity);
+    Foundation::startLogging("bluebell-agent", settings.process.instance, { settings.process.logSeverity });
     constexpr int oneThread = 1;
     asio::io_context context(oneThread);
     const Foundation::SteadyClock clock;
--- a/src/apps/entry/main.cpp
+++ b/src/apps/entry/main.cpp
@@ -27,7 +27,7 @@
 
 int run(const Entry::EntrySettings& settings)
 {
-    Foundation::startLogging("bluebell-entry", settings.process.instance, settings.process.logSeverity);
+    Foundation::startLogging("bluebell-entry", settings.process.instance, { settings.process.logSeverity });
     asio::io_context control(1);
     asio::io_context workers(static_cast<int>(settings.threads));
     const Foundation::SteadyClock clock;
--- a/src/apps/gateway/dispatcher.cpp
+++ b/src/apps/gateway/dispatcher.cpp
@@ -166,6 +166,7 @@
     for (const Upstream* const upstream : this->placedOver) {
         Placement::EngineCandidate candidate;
         candidate.load = &this->ledger.loadOf(upstream->entry.id);
+        candidate.readingLeft = this->ledger.readingLeft(upstream->entry.id);
         candidate.slots = upstream->entry.slots;
         candidate.slowness = this->health.slowness(upstream->runName());
         const bool isCold = now < upstream->coldUntil;
--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -36,6 +36,7 @@
     : context(context)
     , settings(settings)
     , transfers(context)
+    , ledger(this->clock)
     , retries(retryBoundOf(settings.node))
     , suspects(this->clock, crashLimit)
     , mesh(context, this->clock, settings.node.name, settings.node.peers.text(),
--- a/src/apps/gateway/main.cpp
+++ b/src/apps/gateway/main.cpp
@@ -75,6 +75,7 @@
             logEvent(Event::SettingsRejected, "", settings.error().message);
             return;
         }
+        Foundation::setLogBound({ settings.value().logSeverity, settings.value().logLinesPerSecond });
         this->core.reload(settings.value());
         logEvent(Event::SettingsReloaded, "", this->path);
     }
@@ -89,7 +90,8 @@
 int run(const Gateway::GatewaySettings& settings, const std::string& text)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    Foundation::startLogging("bluebell-gateway", settings.node.name, settings.logSeverity);
+    Foundation::startLogging("bluebell-gateway", settings.node.name,
+        { settings.logSeverity, settings.logLinesPerSecond });
     // Everything runs on this one thread: the machine gives a process a part of one core.
     asio::io_context context(1);
     Gateway::GatewayCore core(context, settings);
--- a/src/libs/foundation/logging.cpp
+++ b/src/libs/foundation/logging.cpp
@@ -6,8 +6,15 @@
 #include <log4cplus/logger.h>
 #include <nlohmann/json.hpp>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <chrono>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace Foundation {
 
@@ -18,6 +25,12 @@
     log4cplus::Logger logger = log4cplus::Logger::getInstance("bluebell");
     std::string program;
     std::string instance;
+    std::mutex mutex;
+    std::int64_t linesPerSecond = 0;
+    /** The second that the counts belong to. */
+    std::chrono::steady_clock::time_point secondBegan;
+    std::int64_t lines = 0;
+    std::int64_t dropped = 0;
 };
 
 std::unique_ptr<LogState>& logState()
@@ -39,20 +52,69 @@
     return log4cplus::INFO_LOG_LEVEL;
 }
 
+// Tells whether the reader of the output takes more now.
+bool isOutputReady()
+{
+    pollfd descriptor { STDOUT_FILENO, POLLOUT, 0 };
+    return ::poll(&descriptor, 1, 0) == 1 && (descriptor.revents & POLLOUT) != 0;
+}
+
+// Decides whether a line is written. Returns the lines that were dropped before it, or nothing if it is dropped too.
+std::optional<std::int64_t> admitLine(LogState& state)
+{
+    const std::lock_guard lock(state.mutex);
+    const auto now = std::chrono::steady_clock::now();
+    if (now - state.secondBegan >= std::chrono::seconds(1)) {
+        state.secondBegan = now;
+        state.lines = 0;
+    }
+    if (state.lines >= state.linesPerSecond || !isOutputReady()) {
+        ++state.dropped;
+        return std::nullopt;
+    }
+    ++state.lines;
+    return std::exchange(state.dropped, 0);
+}
+
+void writeLine(LogState& state, const EventEntry& entry, std::string_view requestId, std::string_view detail)
+{
+    const nlohmann::ordered_json line = {
+        { "program", state.program },
+        { "instance", state.instance },
+        { "event", static_cast<int>(entry.event) },
+        { "name", entry.name },
+        { "request", requestId },
+        { "detail", detail },
+    };
+    const std::string text = line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+    // The layout supplies the opening brace and the time.
+    state.logger.forcedLog(toLevel(entry.severity), text.substr(1, text.size() - 2));
+}
+
 } // namespace
 
-void startLogging(std::string_view program, std::string_view instance, Severity minimum)
+void startLogging(std::string_view program, std::string_view instance, LogBound bound)
 {
     auto state = std::make_unique<LogState>();
     state->program = program;
     state->instance = instance;
-    constexpr bool toStandardError = true;
+    constexpr bool toStandardError = false;
     constexpr bool flushEachLine = true;
     log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(toStandardError, flushEachLine));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(R"({"time":"%D{%Y-%m-%dT%H:%M:%S.%q}",%m}%n)"));
     state->logger.addAppender(appender);
-    state->logger.setLogLevel(toLevel(minimum));
     logState() = std::move(state);
+    setLogBound(bound);
+}
+
+void setLogBound(LogBound bound)
+{
+    LogState* const state = logState().get();
+    if (!state)
+        return;
+    const std::lock_guard lock(state->mutex);
+    state->logger.setLogLevel(toLevel(bound.minimum));
+    state->linesPerSecond = bound.linesPerSecond;
 }
 
 void logEvent(Event event, std::string_view requestId, std::string_view detail)
@@ -64,17 +126,12 @@
     const log4cplus::LogLevel level = toLevel(entry.severity);
     if (!state->logger.isEnabledFor(level))
         return;
-    const nlohmann::ordered_json line = {
-        { "program", state->program },
-        { "instance", state->instance },
-        { "event", static_cast<int>(event) },
-        { "name", entry.name },
-        { "request", requestId },
-        { "detail", detail },
-    };
-    const std::string text = line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
-    // The layout supplies the opening brace and the time.
-    state->logger.forcedLog(level, text.substr(1, text.size() - 2));
+    const auto droppedBefore = admitLine(*state);
+    if (!droppedBefore)
+        return;
+    if (*droppedBefore > 0)
+        writeLine(*state, eventEntry(Event::LinesDropped), "", "lines=" + std::to_string(*droppedBefore));
+    writeLine(*state, entry, requestId, detail);
 }
 
 } // namespace Foundation
--- a/src/libs/placement/loadledger.cpp
+++ b/src/libs/placement/loadledger.cpp
@@ -1,9 +1,16 @@
 #include "loadledger.h"
 
+#include <algorithm>
+
 namespace Placement {
 
 namespace {
 
+// Engines also write while they read, so reading wears off more slowly than time passes.
+constexpr double readingRate = 0.85;
+// Reading whose end is overdue still takes this part of its time.
+constexpr double overdueShare = 0.2;
+
 template <typename Shares> void change(Shares& shares, const UpstreamShare& difference, int sign)
 {
     UpstreamShare& share = shares[difference.upstream];
@@ -18,6 +25,11 @@
 
 } // namespace
 
+LoadLedger::LoadLedger(const Foundation::Clock& clock)
+    : clock(clock)
+{
+}
+
 JobId LoadLedger::begin(Job job)
 {
     const JobId id = ++this->lastJob;
@@ -50,30 +62,39 @@
 
 void LoadLedger::setPeerShares(std::string_view peer, std::span<const UpstreamShare> shares, bool isComplete)
 {
-    if (isComplete)
-        this->dropPeer(peer);
     Shares& known = this->peers[std::string(peer)];
-    for (const UpstreamShare& share : shares) {
+    std::set<std::string, std::less<>> named;
+    const auto replace = [&](const UpstreamShare& share) {
+        // Reading that goes on must not count as reading that has just begun.
+        UpstreamShare difference = share;
         const auto old = known.find(share.upstream);
-        if (old != known.end()) {
-            change(this->totals, old->second, -1);
-            known.erase(old);
-        }
+        if (old != known.end())
+            difference.subtract(old->second);
+        this->changeTotal(difference, 1);
         if (share.isEmpty())
-            continue;
-        known[share.upstream] = share;
-        change(this->totals, share, 1);
+            known.erase(share.upstream);
+        else
+            known[share.upstream] = share;
+    };
+    for (const UpstreamShare& share : shares) {
+        named.insert(share.upstream);
+        replace(share);
+    }
+    if (!isComplete)
+        return;
+    std::vector<std::string> ended;
+    for (const auto& [upstream, share] : known) {
+        if (!named.contains(upstream))
+            ended.push_back(upstream);
     }
+    for (const std::string& upstream : ended)
+        replace({ upstream, 0, 0, 0, {} });
 }
 
 void LoadLedger::dropPeer(std::string_view peer)
 {
-    const auto found = this->peers.find(peer);
-    if (found == this->peers.end())
-        return;
-    for (const auto& [upstream, share] : found->second)
-        change(this->totals, share, -1);
-    this->peers.erase(found);
+    this->setPeerShares(peer, {}, true);
+    this->peers.erase(this->peers.find(peer));
 }
 
 const UpstreamShare& LoadLedger::loadOf(std::string_view upstream) const
@@ -83,6 +104,17 @@
     return found == this->totals.end() ? idle : found->second;
 }
 
+Foundation::Duration LoadLedger::readingLeft(std::string_view upstream) const
+{
+    const auto outstanding = std::chrono::microseconds(std::max<std::int64_t>(0, this->loadOf(upstream).readingUs));
+    const auto found = this->readingEnds.find(upstream);
+    if (outstanding.count() == 0 || found == this->readingEnds.end())
+        return {};
+    const double whole = Foundation::toSeconds(outstanding);
+    const double left = Foundation::toSeconds(found->second - this->clock.now()) * readingRate;
+    return Foundation::fromSeconds(std::clamp(left, overdueShare * whole, whole));
+}
+
 std::vector<UpstreamShare> LoadLedger::takeChanges()
 {
     std::vector<UpstreamShare> list;
@@ -113,8 +145,23 @@
 void LoadLedger::apply(const UpstreamShare& share, int sign)
 {
     change(this->own, share, sign);
-    change(this->totals, share, sign);
+    this->changeTotal(share, sign);
     this->changed.insert(share.upstream);
 }
 
+void LoadLedger::changeTotal(const UpstreamShare& share, int sign)
+{
+    change(this->totals, share, sign);
+    const std::int64_t addedUs = sign * share.readingUs;
+    if (this->loadOf(share.upstream).readingUs <= 0) {
+        this->readingEnds.erase(share.upstream);
+        return;
+    }
+    if (addedUs <= 0)
+        return;
+    Foundation::TimePoint& end = this->readingEnds[share.upstream];
+    const double seconds = static_cast<double>(addedUs) / 1e6 / readingRate;
+    end = std::max(end, this->clock.now()) + Foundation::fromSeconds(seconds);
+}
+
 } // namespace Placement
--- a/src/libs/placement/loadledger.h
+++ b/src/libs/placement/loadledger.h
@@ -2,6 +2,8 @@
 
 #include "upstreamshare.h"
 
+#include <foundation/clock.h>
+
 #include <cstdint>
 #include <map>
 #include <set>
@@ -40,6 +42,9 @@
  */
 class LoadLedger {
 public:
+    /** @param clock the time source; must outlive the ledger. */
+    explicit LoadLedger(const Foundation::Clock& clock);
+
     JobId begin(Job job);
 
     /** Notes that the prompt of a job has been read. */
@@ -62,6 +67,12 @@
     /** @return the sum of all shares of an upstream. */
     const UpstreamShare& loadOf(std::string_view upstream) const;
 
+    /**
+     * Estimates the reading that is left at an upstream. Engines read in the order of arrival, so what was handed over
+     * wears off with time until its end is noted.
+     */
+    Foundation::Duration readingLeft(std::string_view upstream) const;
+
     /** @return the shares of this process that changed since the last call; empty ones for those that ended. */
     std::vector<UpstreamShare> takeChanges();
 
@@ -73,12 +84,16 @@
 
     UpstreamShare shareOf(const Job& job, std::string_view upstream) const;
     void apply(const UpstreamShare& share, int sign);
+    void changeTotal(const UpstreamShare& share, int sign);
 
+    const Foundation::Clock& clock;
     JobId lastJob = 0;
     std::map<JobId, Job> jobs;
     Shares own;
     std::map<std::string, Shares, std::less<>> peers;
     Shares totals;
+    /** When each upstream will have read what was handed to it. */
+    std::map<std::string, Foundation::TimePoint, std::less<>> readingEnds;
     std::set<std::string, std::less<>> changed;
 };
 
--- a/src/libs/placement/placementplanner.cpp
+++ b/src/libs/placement/placementplanner.cpp
@@ -12,9 +12,11 @@
 
 // The part of the longest pause that a pass may fill. The rest is for the way to the caller and for what the model
 // does not know.
-constexpr double pauseUse = 0.85;
+constexpr double pauseUse = 0.9;
 // The part of a pause that the reading of a short prompt may fill.
 constexpr double shortPromptShare = 0.4;
+// A prompt that one engine reads within so many pauses runs among the short ones; its reading is still shared out.
+constexpr double packedPromptShare = 1.2;
 // Reading time that is worth as much as a request of no length.
 constexpr Duration weightUnit = std::chrono::milliseconds(250);
 // An answer after its goal is worth about a quarter to its caller.
@@ -23,13 +25,19 @@
 constexpr double repeatedHarm = 0.2;
 // Slots that short prompts fill on an engine before they go on to the next, so that bursts find room.
 constexpr double packedSlots = 0.75;
-// Costs of placing a short prompt, in parts of its weight: to be the first of its kind on an engine, on an engine that
-// is packed, and beside streams of long prompts, whose like will be read there.
-constexpr double openingCost = 0.3;
+// Costs of running a prompt among the short ones, in parts of its weight: on an engine that has room for many more, on
+// one that is packed, and beside streams of long prompts, whose like will be read there.
+constexpr double openingCost = 0.4;
 constexpr double packedCost = 0.6;
 constexpr double besideLongCost = 0.4;
+// Reading that keeps an engine busy for longer than this keeps others from sharing it, at a cost for each second.
+constexpr double blockingMs = 600;
+constexpr double blockingCost = 2;
 // A whole goal of delay costs this part of the weight even if the answer is in time.
 constexpr double delayCost = 0.2;
+// Engines at the end of the order that short prompts leave to long ones as long as others have room: one in so many.
+constexpr std::size_t reservedOneIn = 8;
+constexpr double reservedCost = 2;
 // The numbers of engines that read one prompt; the protocol of the engines takes 16 helpers at most.
 constexpr auto partCounts = std::to_array<std::size_t>({ 1, 2, 3, 4, 6, 8, 10, 12, 14, 16, 17 });
 
@@ -42,10 +50,12 @@
         , candidates(candidates)
         , demand(demand)
         , isShortPrompt(isShort(model, demand))
+        , isPacked(Foundation::toSeconds(model.readingTime(demand.promptTokens))
+              <= packedPromptShare * Foundation::toSeconds(demand.gap))
     {
         for (const EngineCandidate& candidate : candidates) {
             this->passes.push_back(toMs(model.passTime(candidate.load->requests, candidate.load->tokens)));
-            this->backlogs.push_back(static_cast<double>(candidate.load->readingUs) / 1e3 * candidate.slowness);
+            this->backlogs.push_back(toMs(candidate.readingLeft) * candidate.slowness);
         }
     }
 
@@ -84,7 +94,7 @@
     {
         const double before = this->passes[index] + this->backlogs[index];
         const double after = before + partMs * this->candidates[index].slowness;
-        double harm = 0;
+        double harm = blockingCost * std::max(0.0, after - std::max(before, blockingMs)) / 1e3;
         for (const auto& [gapMs, group] : this->candidates[index].load->groups) {
             const double limit = pauseUse * static_cast<double>(gapMs);
             if (after <= limit)
@@ -104,7 +114,7 @@
         return count;
     }
 
-    // The cost of running a short prompt on an engine, beyond harm and delay.
+    // The cost of running a prompt among the short ones on an engine, beyond harm and delay.
     double packingCost(std::size_t index) const
     {
         const EngineCandidate& candidate = this->candidates[index];
@@ -112,11 +122,14 @@
         std::int64_t all = 0;
         for (const auto& [gap, group] : candidate.load->groups)
             all += group.count;
-        double cost = alike == 0 ? openingCost : 0;
-        if (static_cast<double>(candidate.load->requests) >= packedSlots * candidate.slots)
+        const double packed = packedSlots * candidate.slots;
+        double cost = openingCost * std::max(0.0, 1 - static_cast<double>(alike) / packed);
+        if (static_cast<double>(candidate.load->requests) >= packed)
             cost += packedCost;
         if (all > alike)
             cost += besideLongCost;
+        if (index >= this->candidates.size() - this->candidates.size() / reservedOneIn)
+            cost += reservedCost;
         return cost * this->demand.weight;
     }
 
@@ -160,7 +173,7 @@
         for (std::size_t i = 0; i < costs.size(); ++i) {
             if (!this->canRun(i))
                 continue;
-            const double cost = costs[i] + (this->isShortPrompt ? this->packingCost(i) : this->memoryCost(i));
+            const double cost = costs[i] + (this->isPacked ? this->packingCost(i) : this->memoryCost(i));
             if (!chosen || cost < lowest) {
                 chosen = i;
                 lowest = cost;
@@ -221,6 +234,7 @@
     std::span<const EngineCandidate> candidates;
     const PromptDemand& demand;
     const bool isShortPrompt;
+    const bool isPacked;
     /** The time of a pass at each candidate without more reading, in ms. */
     std::vector<double> passes;
     /** The reading that is ahead at each candidate, in ms. */
@@ -234,6 +248,12 @@
     return 1 + Foundation::toSeconds(model.readingTime(promptTokens)) / Foundation::toSeconds(weightUnit);
 }
 
+Duration fastestFirstEvent(const EngineModel& model, std::int64_t promptTokens, std::size_t engineCount)
+{
+    const std::size_t parts = std::clamp<std::size_t>(engineCount, 1, partCounts.back());
+    return model.readingTime(promptTokens, parts) + 2 * model.passTime(1, promptTokens);
+}
+
 bool isShort(const EngineModel& model, const PromptDemand& demand)
 {
     const Duration reading = model.readingTime(demand.promptTokens);
--- a/src/libs/placement/placementplanner.h
+++ b/src/libs/placement/placementplanner.h
@@ -17,6 +17,8 @@
 struct EngineCandidate {
     /** What all processes have under way there; must outlive the planning. */
     const UpstreamShare* load = nullptr;
+    /** Reading that is left there. */
+    Foundation::Duration readingLeft {};
     int slots = 1;
     /** How many times longer than the model says the engine takes. */
     double slowness = 1;
@@ -71,6 +73,13 @@
 std::optional<Placement> placePrompt(
     const EngineModel& model, std::span<const EngineCandidate> candidates, const PromptDemand& demand);
 
+/**
+ * Tells how soon a prompt could have its first event if all engines were free.
+ * @param engineCount the engines that may read.
+ */
+Foundation::Duration fastestFirstEvent(
+    const EngineModel& model, std::int64_t promptTokens, std::size_t engineCount);
+
 /** @return whether a prompt is so short that any engine may read it beside streams. */
 bool isShort(const EngineModel& model, const PromptDemand& demand);
 
--- a/src/libs/placement/upstreamshare.cpp
+++ b/src/libs/placement/upstreamshare.cpp
@@ -16,6 +16,8 @@
         StreamGroup& mine = this->groups[gap];
         mine.count += group.count;
         mine.weight += group.weight;
+        if (mine.count == 0)
+            this->groups.erase(gap);
     }
 }
 
--- a/src/libs/placement/waitingline.cpp
+++ b/src/libs/placement/waitingline.cpp
@@ -17,6 +17,8 @@
 constexpr Duration readAheadLimit = std::chrono::milliseconds(400);
 // Harm below this part of a prompt's weight is no reason to wait.
 constexpr double harmless = 0.05;
+// Short prompts do little harm each, and have little time to wait.
+constexpr double harmOfShort = 0.5;
 // What an answer in time is worth beyond a late one, and what a late one is worth, in parts of the weight.
 constexpr double inTimeWorth = 0.75;
 constexpr double lateWorth = 0.25;
@@ -59,23 +61,28 @@
     return key(a) < key(b);
 }
 
-WaitingLine::Verdict WaitingLine::judge(const WaitingPrompt& prompt, const Placement& placement) const
+WaitingLine::Verdict WaitingLine::judge(
+    const WaitingPrompt& prompt, const Placement& placement, Duration fastest) const
 {
     const double weight = prompt.demand.weight;
-    const Duration slack = prompt.demand.goalLeft - placement.firstEvent;
-    const bool waitsForNothing = placement.harm <= harmless * weight && placement.readingAhead <= readAheadLimit;
-    if (waitsForNothing)
+    const bool isInTime = placement.firstEvent <= prompt.demand.goalLeft;
+    const double limit = isShort(this->engines, prompt.demand) ? harmOfShort : harmless;
+    if (isInTime && placement.harm <= limit * weight && placement.readingAhead <= readAheadLimit)
         return Verdict::Run;
-    if (slack > decisionSlack)
+    // Engines may become free in time for a better place.
+    if (prompt.demand.goalLeft > fastest + decisionSlack)
         return Verdict::Wait;
-    const bool isInTime = slack >= Duration::zero();
     return placement.harm <= (isInTime ? inTimeWorth : lateWorth) * weight ? Verdict::Run : Verdict::Wait;
 }
 
 void WaitingLine::review(TimePoint now, std::size_t engineCount, const WaitingLineOwner& owner)
 {
-    const std::vector<WaitingPrompt> snapshot(this->prompts.begin(),
+    std::vector<WaitingPrompt> snapshot(this->prompts.begin(),
         this->prompts.begin() + static_cast<std::ptrdiff_t>(std::min(reviewLimit, this->prompts.size())));
+    // What is late already must not make the others late.
+    std::stable_partition(snapshot.begin(), snapshot.end(), [&](const WaitingPrompt& prompt) {
+        return prompt.goalAt - now > fastestFirstEvent(this->engines, prompt.demand.promptTokens, engineCount);
+    });
     Duration ahead {};
     const double engineShare = 1 / (readingEfficiency * static_cast<double>(std::max<std::size_t>(1, engineCount)));
     for (WaitingPrompt prompt : snapshot) {
@@ -89,8 +96,10 @@
             owner.refuse(prompt.id, code, comeBackAfter);
             continue;
         }
+        const Duration fastest
+            = fastestFirstEvent(this->engines, prompt.demand.promptTokens, engineCount);
         const auto placement = owner.place(prompt);
-        if (placement && this->judge(prompt, *placement) == Verdict::Run) {
+        if (placement && this->judge(prompt, *placement, fastest) == Verdict::Run) {
             this->remove(prompt.id);
             owner.dispatch(prompt.id, *placement);
             continue;
--- a/src/libs/placement/waitingline.h
+++ b/src/libs/placement/waitingline.h
@@ -65,7 +65,7 @@
 private:
     enum class Verdict : std::uint8_t { Run, Wait };
 
-    Verdict judge(const WaitingPrompt& prompt, const Placement& placement) const;
+    Verdict judge(const WaitingPrompt& prompt, const Placement& placement, Foundation::Duration fastest) const;
     bool comesBefore(const WaitingPrompt& a, const WaitingPrompt& b) const;
 
     EngineModel engines;
