--- a/src/apps/gateway/dispatcher.cpp
+++ b/src/apps/gateway/dispatcher.cpp
@@ -116,7 +116,7 @@
         return 0;
     const Placement::WaitingId id = ++this->lastId;
     ticket.prompt.id = id;
-    ticket.prompt.demand.weight = Placement::weightOf(line->second.model(), ticket.prompt.demand.promptTokens);
+    ticket.prompt.demand.weight = Placement::weightOf(ticket.prompt.demand.promptTokens);
     line->second.add(ticket.prompt);
     this->tickets.emplace(id, std::move(ticket));
     return id;
--- a/src/libs/placement/placementplanner.cpp
+++ b/src/libs/placement/placementplanner.cpp
@@ -17,8 +17,9 @@
 constexpr double shortPromptShare = 0.4;
 // A prompt that one engine reads within so many pauses runs among the short ones; its reading is still shared out.
 constexpr double packedPromptShare = 1.2;
-// Reading time that is worth as much as a request of no length.
-constexpr Duration weightUnit = std::chrono::milliseconds(250);
+// Prompt tokens that are worth as much to a caller as a request of no length: what the users pay for an answer grows
+// with its prompt, from about one for five thousand tokens to a few dozen for a few hundred thousand.
+constexpr double weightTokens = 8'000;
 // An answer after its goal is worth about a quarter to its caller.
 constexpr double lateLoss = 0.75;
 // Streams on an engine that already holds them up too long are mostly late already.
@@ -99,7 +100,7 @@
             const double limit = pauseUse * static_cast<double>(gapMs);
             if (after <= limit)
                 continue;
-            harm += static_cast<double>(group.weight) / 1e3 * (before <= limit ? 1 : repeatedHarm);
+            harm += lateLoss * static_cast<double>(group.weight) / 1e3 * (before <= limit ? 1 : repeatedHarm);
         }
         return harm;
     }
@@ -243,10 +244,7 @@
 
 } // namespace
 
-double weightOf(const EngineModel& model, std::int64_t promptTokens)
-{
-    return 1 + Foundation::toSeconds(model.readingTime(promptTokens)) / Foundation::toSeconds(weightUnit);
-}
+double weightOf(std::int64_t promptTokens) { return 1 + static_cast<double>(promptTokens) / weightTokens; }
 
 Duration fastestFirstEvent(const EngineModel& model, std::int64_t promptTokens, std::size_t engineCount)
 {
--- a/src/libs/placement/placementplanner.h
+++ b/src/libs/placement/placementplanner.h
@@ -55,11 +55,10 @@
 };
 
 /**
- * Gives the weight of a prompt beside others, which follows the time that it takes to read.
- * @param model the engine's model.
+ * Gives the weight of a prompt beside others.
  * @param promptTokens the prompt's tokens.
  */
-double weightOf(const EngineModel& model, std::int64_t promptTokens);
+double weightOf(std::int64_t promptTokens);
 
 /**
  * Places a prompt. Answers the load of short prompts that must not be held up by long ones read beside them: short
