--- a/src/apps/gateway/dispatcher.cpp
+++ b/src/apps/gateway/dispatcher.cpp
@@ -188,15 +188,16 @@
     const std::int64_t partUs = std::chrono::duration_cast<std::chrono::microseconds>(placement.partTime).count();
     Placement::Job job;
     job.upstream = upstream.entry.id;
-    job.tokens = ticket.prompt.demand.promptTokens + ticket.prompt.demand.outputTokens;
+    job.tokens = placement.tokens;
     job.gapMs = Foundation::toMilliseconds(ticket.prompt.demand.gap);
     job.weight = static_cast<std::int64_t>(ticket.prompt.demand.weight * 1e3);
-    job.parts.push_back({ upstream.entry.id, partUs });
+    job.parts.push_back({ upstream.entry.id, partUs, 0 });
     Assignment assignment { upstream.entry.id, upstream.runName(), upstream.entry.address, {}, 0,
         placement.firstEvent };
-    for (const std::size_t helper : placement.helpers) {
-        job.parts.push_back({ this->placedOver[helper]->entry.id, partUs });
-        assignment.helperAddresses.push_back(this->placedOver[helper]->entry.address);
+    for (const Placement::PlacedHelper& helper : placement.helpers) {
+        const Membership::UpstreamEntry& entry = this->placedOver[helper.index]->entry;
+        job.parts.push_back({ entry.id, partUs, helper.heldTokens });
+        assignment.helpers.push_back({ entry.id, entry.address, helper.heldTokens });
     }
     assignment.job = this->ledger.begin(std::move(job));
     ticket.onAssigned(assignment);
--- a/src/apps/gateway/dispatcher.h
+++ b/src/apps/gateway/dispatcher.h
@@ -19,13 +19,20 @@
 
 namespace Gateway {
 
+/** An engine that helps to read a prompt. */
+struct AssignedHelper {
+    std::string upstream;
+    std::string address;
+    /** Memory to reserve there for the prompt; 0 if it only reads. */
+    std::int64_t heldTokens = 0;
+};
+
 /** Where a request goes. */
 struct Assignment {
     std::string upstream;
     std::string upstreamRun;
     std::string address;
-    /** The engines that help to read the prompt. */
-    std::vector<std::string> helperAddresses;
+    std::vector<AssignedHelper> helpers;
     Placement::JobId job = 0;
     /** When the first event is expected, from now on; 0 for requests without a prompt. */
     Foundation::Duration firstEvent {};
--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -1,5 +1,6 @@
 #include "gatewaycore.h"
 
+#include <foundation/identifier.h>
 #include <foundation/logging.h>
 
 #include <asio/post.hpp>
@@ -19,6 +20,8 @@
 constexpr Duration suspensionMinimum = std::chrono::milliseconds(500);
 // The balancer asks every second and takes a process out after two misses.
 constexpr Duration balancerDelay = std::chrono::milliseconds(2'700);
+// Requests that arrive later than this after the signal to stop might be cut by the kill.
+constexpr Duration lastArrival = std::chrono::milliseconds(2'900);
 // The time before the kill that answers need to leave the sockets.
 constexpr Duration killMargin = std::chrono::milliseconds(400);
 // A request that crashed so many upstreams is not run any more. An upstream may also crash or break a connection for
@@ -36,6 +39,8 @@
     : context(context)
     , settings(settings)
     , transfers(context)
+    , orders(this->transfers)
+    , memory(this->orders, this->clock, settings.node.name + "-" + Foundation::makeIdentifier().substr(0, 8) + "-")
     , ledger(this->clock)
     , retries(retryBoundOf(settings.node))
     , suspects(this->clock, crashLimit)
@@ -68,11 +73,12 @@
     , dispatcher(this->clock, this->knowledge.directory(), this->health, this->ledger,
           settings.node.regionByFailureDomain, settings.node.failureDomain)
     , flowContext { this->clock, this->metrics, this->transfers, this->knowledge, this->dispatcher, this->ledger,
-        this->retries, this->health, this->suspects, [this] { this->onLoadChanged(); },
+        this->retries, this->health, this->suspects, this->memory, [this] { this->onLoadChanged(); },
         [this](const Quarantine::CrashNotice& notice) {
             this->mesh.broadcast(Wire::SuspectNotice { { notice }, {} });
         },
-        [this](const RelayFlow& flow) { this->flows.erase(&flow); }, [this] { return bool(this->onStopped); } }
+        [this](const RelayFlow& flow) { this->flows.erase(&flow); }, [this] { return bool(this->onStopped); },
+        [this] { return this->onStopped && this->clock.now() - this->stopBegan >= lastArrival; } }
     , tickTimer(context)
 {
 }
@@ -150,6 +156,7 @@
     const TimePoint now = this->clock.now();
     this->knowledge.tick();
     this->mesh.tick();
+    this->memory.tick();
     std::vector<std::shared_ptr<RelayFlow>> active;
     for (const auto& [key, flow] : this->flows)
         active.push_back(flow);
--- a/src/apps/gateway/gatewaycore.h
+++ b/src/apps/gateway/gatewaycore.h
@@ -54,6 +54,8 @@
     Foundation::BootClock bootClock;
     Foundation::MetricRegistry metrics;
     Platform::HttpTransfers transfers;
+    PlatformAdapter::EngineOrders orders;
+    MemoryKeeper<PlatformAdapter::EngineOrders> memory;
     Placement::LoadLedger ledger;
     Relay::UpstreamHealth health;
     Relay::RetryShare retries;
--- a/src/apps/gateway/relayflow.cpp
+++ b/src/apps/gateway/relayflow.cpp
@@ -34,6 +34,10 @@
 constexpr Duration leastCallSilence = std::chrono::milliseconds(250);
 // When callers may come back after a refusal, if nothing better is known.
 constexpr Duration usualRetryAfter = std::chrono::milliseconds(400);
+// Another process takes requests while this one leaves, so callers may come back at once.
+constexpr Duration leavingRetryAfter = std::chrono::milliseconds(30);
+// A prompt that is late waits this long, or half its goal, for a place that holds nobody up.
+constexpr Duration leastLateWait = std::chrono::milliseconds(1'500);
 constexpr Duration suspectRetryAfter = std::chrono::seconds(10);
 constexpr int firstServerError = 500;
 constexpr int firstError = 300;
@@ -71,6 +75,10 @@
         if (const auto flow = weak.lock())
             flow->onCallerGone();
     });
+    if (this->context.isLeaving()) {
+        this->fail(ResultCode::ShuttingDown, leavingRetryAfter);
+        return;
+    }
     if (!this->findRoute())
         return;
     this->deadline = std::min(this->deadline, this->arrived + this->route->timeout);
@@ -157,7 +165,7 @@
     }
     const auto assignment = this->context.dispatcher.assignCall(this->demand);
     if (assignment)
-        this->send(*assignment);
+        this->begin(*assignment);
     else
         this->fail(this->sends == 0 ? ResultCode::NoUpstream : ResultCode::UpstreamRejected, usualRetryAfter);
 }
@@ -181,7 +189,7 @@
         if (!flow)
             return;
         flow->waiting = 0;
-        flow->send(assignment);
+        flow->begin(assignment);
     };
     ticket.onRefused = [weak](ResultCode code, Duration retryAfter) {
         const auto flow = weak.lock();
@@ -194,31 +202,72 @@
     this->context.dispatcher.review();
 }
 
-PlatformAdapter::Forwarding RelayFlow::forwardingOf(const Assignment& assignment) const
+void RelayFlow::begin(const Assignment& assignment)
+{
+    ++this->attemptNumber;
+    this->attempt.emplace();
+    this->attempt->assignment = assignment;
+    this->attempt->sent = this->context.clock.now();
+    this->attempt->lastData = this->attempt->sent;
+    const bool needsMemory
+        = std::ranges::any_of(assignment.helpers, [](const AssignedHelper& helper) { return helper.heldTokens > 0; });
+    if (needsMemory)
+        this->reserveMemory();
+    else
+        this->send({});
+    this->context.onLoadChanged();
+}
+
+void RelayFlow::reserveMemory()
+{
+    std::vector<MemoryNeed> needs;
+    for (const AssignedHelper& helper : this->attempt->assignment.helpers) {
+        if (helper.heldTokens > 0)
+            needs.push_back({ helper.upstream, helper.address, helper.heldTokens });
+    }
+    const std::weak_ptr<RelayFlow> weak = this->weak_from_this();
+    const std::uint64_t number = this->attemptNumber;
+    this->attempt->memory = this->context.memory.reserve(needs, [weak, number](const std::vector<std::string>& names) {
+        const auto flow = weak.lock();
+        if (!flow || !flow->attempt || flow->attemptNumber != number)
+            return;
+        if (!names.empty()) {
+            flow->send(names);
+            return;
+        }
+        logEvent(Event::AttemptRefused, flow->request.id,
+            "upstream=" + flow->attempt->assignment.upstreamRun + " reason=memory was not set aside");
+        flow->closeAttempt(std::nullopt);
+        flow->onAttemptFailed(RunOutcome::NotRun, ResultCode::MemoryFull, false);
+    });
+}
+
+PlatformAdapter::Forwarding RelayFlow::forwardingOf(const std::vector<std::string>& ticketNames) const
 {
+    const Assignment& assignment = this->attempt->assignment;
     PlatformAdapter::Forwarding forwarding;
     forwarding.upstream = assignment.upstream;
     forwarding.account = this->account ? this->account->name : std::string();
     forwarding.timeLeft = this->timeLeft();
-    forwarding.helpers = assignment.helperAddresses;
+    std::size_t used = 0;
+    for (const AssignedHelper& helper : assignment.helpers) {
+        const std::string_view ticket = helper.heldTokens > 0 ? ticketNames.at(used++) : std::string_view();
+        forwarding.helpers.push_back(PlatformAdapter::encodeHelper(helper.address, ticket));
+    }
     if (this->hasBegun)
         forwarding.resumeAfter = this->events.lastId();
     return forwarding;
 }
 
-void RelayFlow::send(const Assignment& assignment)
+void RelayFlow::send(const std::vector<std::string>& ticketNames)
 {
     const Web::HttpRequest& source = this->exchange->request();
-    const std::uint64_t number = ++this->attemptNumber;
-    this->attempt.emplace();
-    this->attempt->assignment = assignment;
-    this->attempt->sent = this->context.clock.now();
-    this->attempt->lastData = this->attempt->sent;
+    const Assignment& assignment = this->attempt->assignment;
     ++this->sends;
     Platform::HttpCall call;
     call.method = source.method;
     call.url = "http://" + assignment.address + source.target;
-    call.headers = PlatformAdapter::encodeForwarding(source, this->forwardingOf(assignment));
+    call.headers = PlatformAdapter::encodeForwarding(source, this->forwardingOf(ticketNames));
     call.body = source.body;
     call.timeout = this->timeLeft() + std::chrono::milliseconds(100);
     call.connectTimeout = connectTimeout;
@@ -229,15 +278,16 @@
         call.connectionUse = Platform::ConnectionUse::Own;
     }
     const std::shared_ptr<RelayFlow> self = this->shared_from_this();
+    const std::uint64_t number = this->attemptNumber;
     this->attempt->call = this->context.transfers.stream(std::move(call),
         { [self, number](Platform::AnswerStart head) { self->onHead(number, std::move(head)); },
             [self, number](const std::string& data) { self->onData(number, data); },
             [self, number](const Platform::HttpCallResult& result) { self->onEnd(number, result); } });
     logEvent(Event::RequestPlaced, this->request.id,
-        "upstream=" + assignment.upstreamRun + " helpers=" + std::to_string(assignment.helperAddresses.size())
-            + " waited_ms=" + msText(this->attempt->sent - this->arrived)
-            + " expected_ms=" + msText(assignment.firstEvent) + " send=" + std::to_string(this->sends));
-    this->context.onLoadChanged();
+        "upstream=" + assignment.upstreamRun + " helpers=" + std::to_string(assignment.helpers.size())
+            + " holders=" + std::to_string(ticketNames.size()) + " waited_ms="
+            + msText(this->attempt->sent - this->arrived) + " expected_ms=" + msText(assignment.firstEvent)
+            + " send=" + std::to_string(this->sends));
 }
 
 void RelayFlow::onHead(std::uint64_t number, Platform::AnswerStart head)
@@ -403,7 +453,10 @@
     const Attempt closed = std::move(*this->attempt);
     this->attempt.reset();
     ++this->attemptNumber;
-    this->context.transfers.cancel(closed.call);
+    if (closed.call != 0)
+        this->context.transfers.cancel(closed.call);
+    if (closed.memory != 0)
+        this->context.memory.release(closed.memory);
     this->context.ledger.end(closed.assignment.job);
     const std::string& run = closed.assignment.upstreamRun;
     if (observation && this->context.health.note(run, *observation, this->context.clock.now()))
@@ -543,7 +596,7 @@
     if (!this->attempt->isReading)
         return 2 * this->route->gapTarget + pauseSlack;
     const Assignment& assignment = this->attempt->assignment;
-    return 2 * assignment.firstEvent + (assignment.helperAddresses.empty() ? firstEventSlack : helperSlack);
+    return 2 * assignment.firstEvent + (assignment.helpers.empty() ? firstEventSlack : helperSlack);
 }
 
 Duration RelayFlow::timeLeft() const { return this->deadline - this->context.clock.now(); }
--- a/src/apps/gateway/relayflow.h
+++ b/src/apps/gateway/relayflow.h
@@ -2,6 +2,7 @@
 
 #include "dispatcher.h"
 #include "knowledgekeeper.h"
+#include "memorykeeper.h"
 
 #include <foundation/clock.h>
 #include <foundation/metrics.h>
@@ -36,6 +37,7 @@
     Relay::RetryShare& retries;
     Relay::UpstreamHealth& health;
     Quarantine::SuspectRegister& suspects;
+    MemoryKeeper<PlatformAdapter::EngineOrders>& memory;
     /** Called after a change of the ledger or of the health of upstreams. */
     std::function<void()> onLoadChanged;
     /** Called with a new suspicion, which the other gateways have to learn. */
@@ -44,12 +46,16 @@
     std::function<void(const RelayFlow&)> onEnded;
     /** @return whether the process is about to stop, so that callers have to use another one from now on. */
     std::function<bool()> isStopping;
+    /** @return whether the process stops so soon that a new request might not end before. */
+    std::function<bool()> isLeaving;
 };
 
 /** One send to one upstream. */
 struct Attempt {
     Assignment assignment;
     Platform::CallId call = 0;
+    /** Memory set aside at helpers; 0 if there is none. */
+    MemoryId memory = 0;
     Foundation::TimePoint sent {};
     Foundation::TimePoint lastData {};
     bool isReading = true;
@@ -79,8 +85,10 @@
     bool isSuspect();
     void dispatch();
     void enqueuePrompt();
-    void send(const Assignment& assignment);
-    PlatformAdapter::Forwarding forwardingOf(const Assignment& assignment) const;
+    void begin(const Assignment& assignment);
+    void reserveMemory();
+    void send(const std::vector<std::string>& ticketNames);
+    PlatformAdapter::Forwarding forwardingOf(const std::vector<std::string>& ticketNames) const;
 
     void onHead(std::uint64_t number, Platform::AnswerStart head);
     void onData(std::uint64_t number, std::string_view data);
--- a/src/libs/placement/loadledger.cpp
+++ b/src/libs/placement/loadledger.cpp
@@ -1,6 +1,7 @@
 #include "loadledger.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Placement {
 
@@ -35,7 +36,7 @@
     const JobId id = ++this->lastJob;
     for (const ReadingPart& part : job.parts)
         this->apply({ part.upstream, part.readingUs, 0, 0, {} }, 1);
-    this->apply(this->shareOf(job, job.upstream), 1);
+    this->applyHeld(job, 1);
     this->jobs[id] = std::move(job);
     return id;
 }
@@ -45,9 +46,8 @@
     const auto found = this->jobs.find(id);
     if (found == this->jobs.end())
         return;
-    for (const ReadingPart& part : found->second.parts)
-        this->apply({ part.upstream, part.readingUs, 0, 0, {} }, -1);
-    found->second.parts.clear();
+    for (ReadingPart& part : found->second.parts)
+        this->apply({ part.upstream, std::exchange(part.readingUs, 0), 0, 0, {} }, -1);
 }
 
 void LoadLedger::end(JobId id)
@@ -56,7 +56,7 @@
     const auto found = this->jobs.find(id);
     if (found == this->jobs.end())
         return;
-    this->apply(this->shareOf(found->second, found->second.upstream), -1);
+    this->applyHeld(found->second, -1);
     this->jobs.erase(found);
 }
 
@@ -134,12 +134,16 @@
     return list;
 }
 
-UpstreamShare LoadLedger::shareOf(const Job& job, std::string_view upstream) const
+void LoadLedger::applyHeld(const Job& job, int sign)
 {
-    UpstreamShare share { std::string(upstream), 0, 1, job.tokens, {} };
+    UpstreamShare share { job.upstream, 0, 1, job.tokens, {} };
     if (job.gapMs > 0)
         share.groups[job.gapMs] = { 1, job.weight };
-    return share;
+    this->apply(share, sign);
+    for (const ReadingPart& part : job.parts) {
+        if (part.heldTokens > 0)
+            this->apply({ part.upstream, 0, 0, part.heldTokens, {} }, sign);
+    }
 }
 
 void LoadLedger::apply(const UpstreamShare& share, int sign)
--- a/src/libs/placement/loadledger.h
+++ b/src/libs/placement/loadledger.h
@@ -20,6 +20,8 @@
 struct ReadingPart {
     std::string upstream;
     std::int64_t readingUs = 0;
+    /** Memory that the engine holds for the prompt until the request ends. */
+    std::int64_t heldTokens = 0;
 };
 
 /** A request that was handed to an upstream. */
@@ -82,7 +84,8 @@
 private:
     using Shares = std::map<std::string, UpstreamShare, std::less<>>;
 
-    UpstreamShare shareOf(const Job& job, std::string_view upstream) const;
+    /** Adds what a job holds until its end, or takes it away. */
+    void applyHeld(const Job& job, int sign);
     void apply(const UpstreamShare& share, int sign);
     void changeTotal(const UpstreamShare& share, int sign);
 
--- a/src/libs/placement/placementplanner.cpp
+++ b/src/libs/placement/placementplanner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <numeric>
 
 namespace Placement {
@@ -36,6 +37,11 @@
 constexpr double blockingCost = 2;
 // A whole goal of delay costs this part of the weight even if the answer is in time.
 constexpr double delayCost = 0.2;
+// The part of an engine's memory that is planned with, and the part that one engine holds of a prompt that needs
+// several. Memory is given out in blocks.
+constexpr double usableMemoryShare = 0.98;
+constexpr double heldMemoryShare = 0.4;
+constexpr std::int64_t memoryBlock = 64;
 // Engines at the end of the order that short prompts leave to long ones as long as others have room: one in so many.
 constexpr std::size_t reservedOneIn = 8;
 constexpr double reservedCost = 2;
@@ -54,6 +60,9 @@
         , isPacked(Foundation::toSeconds(model.readingTime(demand.promptTokens))
               <= packedPromptShare * Foundation::toSeconds(demand.gap))
     {
+        this->usableMemory
+            = static_cast<std::int64_t>(usableMemoryShare * static_cast<double>(model.profile().memoryTokens));
+        this->divideMemory();
         for (const EngineCandidate& candidate : candidates) {
             this->passes.push_back(toMs(model.passTime(candidate.load->requests, candidate.load->tokens)));
             this->backlogs.push_back(toMs(candidate.readingLeft) * candidate.slowness);
@@ -67,6 +76,8 @@
         for (const std::size_t parts : partCounts) {
             if (parts > this->candidates.size())
                 break;
+            if (parts < this->holders)
+                continue;
             auto placement = this->placeOn(parts);
             if (!placement)
                 continue;
@@ -82,12 +93,31 @@
     }
 
 private:
+    // A prompt that is larger than the memory of one engine is held by several, in even parts that leave room for
+    // other requests beside them.
+    void divideMemory()
+    {
+        const std::int64_t needed = this->demand.promptTokens + this->demand.outputTokens;
+        if (needed <= this->usableMemory) {
+            this->heldByEach = needed;
+            return;
+        }
+        const double part = std::max(1.0, heldMemoryShare * static_cast<double>(this->usableMemory));
+        this->holders = static_cast<std::size_t>(std::ceil(static_cast<double>(needed) / part));
+        const auto count = static_cast<std::int64_t>(this->holders);
+        this->heldByEach = (needed / count / memoryBlock + 1) * memoryBlock;
+    }
+
+    std::int64_t freeTokens(std::size_t index) const
+    {
+        return this->usableMemory - this->candidates[index].load->tokens;
+    }
+
     bool canRun(std::size_t index) const
     {
         const EngineCandidate& candidate = this->candidates[index];
-        const std::int64_t needed = this->demand.promptTokens + this->demand.outputTokens;
         return candidate.mayRun && candidate.load->requests < candidate.slots
-            && candidate.load->tokens + needed <= this->model.profile().memoryTokens;
+            && this->freeTokens(index) >= this->heldByEach;
     }
 
     // What the streams on an engine are worth that a pass with so much more reading would hold up.
@@ -95,7 +125,7 @@
     {
         const double before = this->passes[index] + this->backlogs[index];
         const double after = before + partMs * this->candidates[index].slowness;
-        double harm = blockingCost * std::max(0.0, after - std::max(before, blockingMs)) / 1e3;
+        double harm = 0;
         for (const auto& [gapMs, group] : this->candidates[index].load->groups) {
             const double limit = pauseUse * static_cast<double>(gapMs);
             if (after <= limit)
@@ -105,6 +135,14 @@
         return harm;
     }
 
+    // The cost of keeping an engine busy for so long that others cannot share it.
+    double blockingAt(std::size_t index, double partMs) const
+    {
+        const double before = this->backlogs[index];
+        const double after = before + partMs * this->candidates[index].slowness;
+        return blockingCost * std::max(0.0, after - std::max(before, blockingMs)) / 1e3;
+    }
+
     std::int64_t streamsWithGapUpTo(std::size_t index, Duration gap) const
     {
         std::int64_t count = 0;
@@ -139,7 +177,7 @@
     {
         const double position = static_cast<double>(index) / static_cast<double>(this->candidates.size());
         const double turn = this->isShortPrompt ? position : 1 - position;
-        return this->harmAt(index, partMs) + this->delayCostOf(this->backlogs[index] + this->passes[index])
+        return this->harmAt(index, partMs) + this->blockingAt(index, partMs) + this->delayCostOf(this->backlogs[index] + this->passes[index])
             + turn * 1e-3 * this->demand.weight;
     }
 
@@ -160,8 +198,9 @@
             return std::nullopt;
         Placement placement;
         placement.upstream = *runner;
+        placement.tokens = this->heldByEach;
         placement.helpers = this->chooseHelpers(costs, *runner, parts - 1);
-        if (placement.helpers.size() != parts - 1)
+        if (placement.helpers.size() != parts - 1 || !this->divideAmong(placement.helpers))
             return std::nullopt;
         this->predict(placement, partMs);
         return placement;
@@ -190,7 +229,23 @@
         return 0.1 * this->demand.weight * static_cast<double>(this->candidates[index].load->tokens) / memory;
     }
 
-    std::vector<std::size_t> chooseHelpers(std::span<const double> costs, std::size_t runner, std::size_t count) const
+    // Gives the prompt's memory beyond the runner's part to the helpers with the most room.
+    bool divideAmong(std::vector<PlacedHelper>& helpers) const
+    {
+        std::vector<PlacedHelper*> byRoom;
+        for (PlacedHelper& helper : helpers)
+            byRoom.push_back(&helper);
+        std::ranges::sort(byRoom, std::ranges::greater {},
+            [this](const PlacedHelper* helper) { return this->freeTokens(helper->index); });
+        for (std::size_t i = 0; i + 1 < this->holders; ++i) {
+            if (this->freeTokens(byRoom[i]->index) < this->heldByEach)
+                return false;
+            byRoom[i]->heldTokens = this->heldByEach;
+        }
+        return true;
+    }
+
+    std::vector<PlacedHelper> chooseHelpers(std::span<const double> costs, std::size_t runner, std::size_t count) const
     {
         std::vector<std::size_t> others;
         for (std::size_t i = 0; i < costs.size(); ++i) {
@@ -201,7 +256,10 @@
         std::ranges::partial_sort(others, others.begin() + static_cast<std::ptrdiff_t>(count), std::ranges::less {},
             [&costs](std::size_t index) { return costs[index]; });
         others.resize(count);
-        return others;
+        std::vector<PlacedHelper> helpers;
+        for (const std::size_t index : others)
+            helpers.push_back({ index, 0 });
+        return helpers;
     }
 
     void predict(Placement& placement, double partMs) const
@@ -214,10 +272,11 @@
             firstEventMs = std::max(firstEventMs, reading + this->passes[index]);
             aheadMs = std::max(aheadMs, this->backlogs[index]);
             placement.harm += this->harmAt(index, partMs);
+            placement.blocking += this->blockingAt(index, partMs);
         };
         addReader(placement.upstream);
-        for (const std::size_t helper : placement.helpers)
-            addReader(helper);
+        for (const PlacedHelper& helper : placement.helpers)
+            addReader(helper.index);
         // The first event comes with the pass after the one that was under way.
         firstEventMs += this->passes[placement.upstream] * this->candidates[placement.upstream].slowness;
         placement.firstEvent = Foundation::fromSeconds(firstEventMs / 1e3);
@@ -228,7 +287,7 @@
     {
         const bool isLate = placement.firstEvent > this->demand.goalLeft;
         const double late = isLate ? lateLoss * this->demand.weight : 0;
-        return placement.harm + late + this->delayCostOf(toMs(placement.firstEvent));
+        return placement.harm + placement.blocking + late + this->delayCostOf(toMs(placement.firstEvent));
     }
 
     const EngineModel& model;
@@ -236,6 +295,10 @@
     const PromptDemand& demand;
     const bool isShortPrompt;
     const bool isPacked;
+    std::int64_t usableMemory = 0;
+    /** Engines that hold the prompt's memory, and the part of each. */
+    std::size_t holders = 1;
+    std::int64_t heldByEach = 0;
     /** The time of a pass at each candidate without more reading, in ms. */
     std::vector<double> passes;
     /** The reading that is ahead at each candidate, in ms. */
--- a/src/libs/placement/placementplanner.h
+++ b/src/libs/placement/placementplanner.h
@@ -40,11 +40,20 @@
     double weight = 1;
 };
 
+/** An engine that helps to read a prompt. */
+struct PlacedHelper {
+    /** The index of the candidate. */
+    std::size_t index = 0;
+    /** Memory that it holds for the prompt; 0 if it only reads. */
+    std::int64_t heldTokens = 0;
+};
+
 struct Placement {
     /** The index of the candidate that runs the request. */
     std::size_t upstream = 0;
-    /** The indices of candidates that help to read. */
-    std::vector<std::size_t> helpers;
+    /** Memory that the request takes there. */
+    std::int64_t tokens = 0;
+    std::vector<PlacedHelper> helpers;
     /** The time that each of them reads. */
     Foundation::Duration partTime {};
     Foundation::Duration firstEvent {};
@@ -52,6 +61,8 @@
     Foundation::Duration readingAhead {};
     /** What the streams are worth that the reading would hold up for longer than their callers expect. */
     double harm = 0;
+    /** What it costs others that the engines are busy for long. */
+    double blocking = 0;
 };
 
 /**
--- a/src/libs/placement/waitingline.cpp
+++ b/src/libs/placement/waitingline.cpp
@@ -72,7 +72,7 @@
     // Engines may become free in time for a better place.
     if (prompt.demand.goalLeft > fastest + decisionSlack)
         return Verdict::Wait;
-    return placement.harm <= (isInTime ? inTimeWorth : lateWorth) * weight ? Verdict::Run : Verdict::Wait;
+    return placement.harm + placement.blocking <= (isInTime ? inTimeWorth : lateWorth) * weight ? Verdict::Run : Verdict::Wait;
 }
 
 void WaitingLine::review(TimePoint now, std::size_t engineCount, const WaitingLineOwner& owner)
@@ -104,6 +104,12 @@
             owner.dispatch(prompt.id, *placement);
             continue;
         }
+        if (prompt.demand.goalLeft + prompt.lateWait < fastest) {
+            // It is late and would hold up more than it is worth; its caller had better know now.
+            this->remove(prompt.id);
+            owner.refuse(prompt.id, ResultCode::DeadlineUnreachable, comeBackAfter);
+            continue;
+        }
         ahead += reading;
     }
 }
