--- a/src/apps/gateway/dispatcher.cpp
+++ b/src/apps/gateway/dispatcher.cpp
@@ -143,12 +143,12 @@
             continue;
         const std::size_t engines = this->usableOf({ service, {}, {} }).size();
         line.review(now, engines,
-            { [this](const Placement::WaitingPrompt& prompt) -> std::optional<Placement::Placement> {
+            { [this](const Placement::WaitingPrompt& prompt) -> std::optional<Placement::PromptPlacement> {
                  const auto ticket = this->tickets.find(prompt.id);
                  return ticket == this->tickets.end() ? std::nullopt : this->place(prompt, ticket->second);
              },
                 [this](
-                    Placement::WaitingId id, const Placement::Placement& placement) { this->dispatch(id, placement); },
+                    Placement::WaitingId id, const Placement::PromptPlacement& placement) { this->dispatch(id, placement); },
                 [this](Placement::WaitingId id, Foundation::ResultCode code, Duration retryAfter) {
                     this->refuse(id, code, retryAfter);
                 } });
@@ -156,7 +156,7 @@
     this->isReviewing = false;
 }
 
-std::optional<Placement::Placement> Dispatcher::place(
+std::optional<Placement::PromptPlacement> Dispatcher::place(
     const Placement::WaitingPrompt& prompt, const PromptTicket& ticket)
 {
     const TimePoint now = this->clock.now();
@@ -178,7 +178,7 @@
     return Placement::placePrompt(this->lines.find(ticket.call.service)->second.model(), candidates, prompt.demand);
 }
 
-void Dispatcher::dispatch(Placement::WaitingId id, const Placement::Placement& placement)
+void Dispatcher::dispatch(Placement::WaitingId id, const Placement::PromptPlacement& placement)
 {
     const auto found = this->tickets.find(id);
     const PromptTicket ticket = std::move(found->second);
--- a/src/apps/gateway/dispatcher.h
+++ b/src/apps/gateway/dispatcher.h
@@ -95,8 +95,8 @@
 private:
     bool isInRegions(const Membership::Upstream& upstream, const std::vector<std::string>& regions) const;
     bool mayStart(const Membership::Upstream& upstream, Foundation::TimePoint now);
-    std::optional<Placement::Placement> place(const Placement::WaitingPrompt& prompt, const PromptTicket& ticket);
-    void dispatch(Placement::WaitingId id, const Placement::Placement& placement);
+    std::optional<Placement::PromptPlacement> place(const Placement::WaitingPrompt& prompt, const PromptTicket& ticket);
+    void dispatch(Placement::WaitingId id, const Placement::PromptPlacement& placement);
     void refuse(Placement::WaitingId id, Foundation::ResultCode code, Foundation::Duration retryAfter);
     std::vector<const Membership::Upstream*> usableOf(const CallDemand& demand);
 
--- a/src/apps/gateway/relayflow.cpp
+++ b/src/apps/gateway/relayflow.cpp
@@ -181,6 +181,7 @@
         = this->hasBegun ? this->lastDelivered + this->route->gapTarget : this->arrived + this->route->goal;
     ticket.prompt.patienceEnd
         = std::min(this->deadline, this->lastDelivered + PlatformAdapter::streamPatience(*this->route));
+    ticket.prompt.lateWait = this->hasBegun ? this->timeLeft() : std::max(leastLateWait, this->route->goal / 2);
     ticket.prompt.priority
         = this->account && this->account->priority ? *this->account->priority : this->route->priority;
     const std::weak_ptr<RelayFlow> weak = this->weak_from_this();
--- a/src/libs/placement/placementplanner.cpp
+++ b/src/libs/placement/placementplanner.cpp
@@ -11,9 +11,9 @@
 
 using Foundation::Duration;
 
-// The part of the longest pause that a pass may fill. The rest is for the way to the caller and for what the model
-// does not know.
-constexpr double pauseUse = 0.9;
+// The part of the longest pause that a pass must not fill: about a pass without reading, since what is ahead at an
+// engine is known only so well, and the way to the caller.
+constexpr double pauseMarginMs = 40;
 // The part of a pause that the reading of a short prompt may fill.
 constexpr double shortPromptShare = 0.4;
 // A prompt that one engine reads within so many pauses runs among the short ones; its reading is still shared out.
@@ -35,6 +35,8 @@
 // Reading that keeps an engine busy for longer than this keeps others from sharing it, at a cost for each second.
 constexpr double blockingMs = 600;
 constexpr double blockingCost = 2;
+// From this part of the goal on, an expected first event may turn out to be late.
+constexpr double riskyPart = 0.55;
 // A whole goal of delay costs this part of the weight even if the answer is in time.
 constexpr double delayCost = 0.2;
 // The part of an engine's memory that is planned with, and the part that one engine holds of a prompt that needs
@@ -69,9 +71,9 @@
         }
     }
 
-    std::optional<Placement> best()
+    std::optional<PromptPlacement> best()
     {
-        std::optional<Placement> chosen;
+        std::optional<PromptPlacement> chosen;
         double lowest = 0;
         for (const std::size_t parts : partCounts) {
             if (parts > this->candidates.size())
@@ -127,7 +129,7 @@
         const double after = before + partMs * this->candidates[index].slowness;
         double harm = 0;
         for (const auto& [gapMs, group] : this->candidates[index].load->groups) {
-            const double limit = pauseUse * static_cast<double>(gapMs);
+            const double limit = static_cast<double>(gapMs) - pauseMarginMs;
             if (after <= limit)
                 continue;
             harm += lateLoss * static_cast<double>(group.weight) / 1e3 * (before <= limit ? 1 : repeatedHarm);
@@ -177,17 +179,25 @@
     {
         const double position = static_cast<double>(index) / static_cast<double>(this->candidates.size());
         const double turn = this->isShortPrompt ? position : 1 - position;
-        return this->harmAt(index, partMs) + this->blockingAt(index, partMs) + this->delayCostOf(this->backlogs[index] + this->passes[index])
+        const double firstEventMs = this->firstEventAt(index, partMs) + this->passes[index];
+        return this->harmAt(index, partMs) + this->blockingAt(index, partMs) + this->delayCostOf(firstEventMs)
             + turn * 1e-3 * this->demand.weight;
     }
 
+    // When an engine has read a part, counted from now; a pass that is under way ends first.
+    double firstEventAt(std::size_t index, double partMs) const
+    {
+        return this->backlogs[index] + partMs * this->candidates[index].slowness + this->passes[index];
+    }
+
     double delayCostOf(double ms) const
     {
-        const double goalMs = std::max(50.0, toMs(this->demand.goalLeft));
-        return delayCost * this->demand.weight * std::min(2.0, ms / goalMs);
+        const double used = ms / std::max(50.0, toMs(this->demand.goalLeft));
+        const double risk = std::clamp((used - riskyPart) / (1 - riskyPart), 0.0, 1.0);
+        return this->demand.weight * (delayCost * std::min(2.0, used) + lateLoss * risk);
     }
 
-    std::optional<Placement> placeOn(std::size_t parts) const
+    std::optional<PromptPlacement> placeOn(std::size_t parts) const
     {
         const double partMs = toMs(this->model.readingTime(this->demand.promptTokens, parts));
         std::vector<double> costs(this->candidates.size());
@@ -196,7 +206,7 @@
         const auto runner = this->chooseRunner(costs);
         if (!runner)
             return std::nullopt;
-        Placement placement;
+        PromptPlacement placement;
         placement.upstream = *runner;
         placement.tokens = this->heldByEach;
         placement.helpers = this->chooseHelpers(costs, *runner, parts - 1);
@@ -262,14 +272,13 @@
         return helpers;
     }
 
-    void predict(Placement& placement, double partMs) const
+    void predict(PromptPlacement& placement, double partMs) const
     {
         placement.partTime = Foundation::fromSeconds(partMs / 1e3);
         double firstEventMs = 0;
         double aheadMs = 0;
         const auto addReader = [&](std::size_t index) {
-            const double reading = this->backlogs[index] + partMs * this->candidates[index].slowness;
-            firstEventMs = std::max(firstEventMs, reading + this->passes[index]);
+            firstEventMs = std::max(firstEventMs, this->firstEventAt(index, partMs));
             aheadMs = std::max(aheadMs, this->backlogs[index]);
             placement.harm += this->harmAt(index, partMs);
             placement.blocking += this->blockingAt(index, partMs);
@@ -283,11 +292,9 @@
         placement.readingAhead = Foundation::fromSeconds(aheadMs / 1e3);
     }
 
-    double scoreOf(const Placement& placement) const
+    double scoreOf(const PromptPlacement& placement) const
     {
-        const bool isLate = placement.firstEvent > this->demand.goalLeft;
-        const double late = isLate ? lateLoss * this->demand.weight : 0;
-        return placement.harm + placement.blocking + late + this->delayCostOf(toMs(placement.firstEvent));
+        return placement.harm + placement.blocking + this->delayCostOf(toMs(placement.firstEvent));
     }
 
     const EngineModel& model;
@@ -321,7 +328,7 @@
     return Foundation::toSeconds(reading) <= shortPromptShare * Foundation::toSeconds(demand.gap);
 }
 
-std::optional<Placement> placePrompt(
+std::optional<PromptPlacement> placePrompt(
     const EngineModel& model, std::span<const EngineCandidate> candidates, const PromptDemand& demand)
 {
     if (candidates.empty())
--- a/src/libs/placement/placementplanner.h
+++ b/src/libs/placement/placementplanner.h
@@ -48,7 +48,7 @@
     std::int64_t heldTokens = 0;
 };
 
-struct Placement {
+struct PromptPlacement {
     /** The index of the candidate that runs the request. */
     std::size_t upstream = 0;
     /** Memory that the request takes there. */
@@ -80,7 +80,7 @@
  * @param demand the prompt.
  * @return the best placement; none if no engine has a free slot and the memory.
  */
-std::optional<Placement> placePrompt(
+std::optional<PromptPlacement> placePrompt(
     const EngineModel& model, std::span<const EngineCandidate> candidates, const PromptDemand& demand);
 
 /**
--- a/src/libs/placement/waitingline.cpp
+++ b/src/libs/placement/waitingline.cpp
@@ -62,7 +62,7 @@
 }
 
 WaitingLine::Verdict WaitingLine::judge(
-    const WaitingPrompt& prompt, const Placement& placement, Duration fastest) const
+    const WaitingPrompt& prompt, const PromptPlacement& placement, Duration fastest) const
 {
     const double weight = prompt.demand.weight;
     const bool isInTime = placement.firstEvent <= prompt.demand.goalLeft;
--- a/src/libs/placement/waitingline.h
+++ b/src/libs/placement/waitingline.h
@@ -31,9 +31,9 @@
 /** What the line needs of its owner. Each call happens within WaitingLine::review(). */
 struct WaitingLineOwner {
     /** Places a prompt by the load of this moment; none if there is no room. */
-    std::function<std::optional<Placement>(const WaitingPrompt&)> place;
+    std::function<std::optional<PromptPlacement>(const WaitingPrompt&)> place;
     /** Hands a prompt over; its load counts from now on. */
-    std::function<void(WaitingId, const Placement&)> dispatch;
+    std::function<void(WaitingId, const PromptPlacement&)> dispatch;
     /** Refuses a prompt that has not run, with the time after which the caller may come back. */
     std::function<void(WaitingId, Foundation::ResultCode, Foundation::Duration)> refuse;
 };
@@ -67,7 +67,7 @@
 private:
     enum class Verdict : std::uint8_t { Run, Wait };
 
-    Verdict judge(const WaitingPrompt& prompt, const Placement& placement, Foundation::Duration fastest) const;
+    Verdict judge(const WaitingPrompt& prompt, const PromptPlacement& placement, Foundation::Duration fastest) const;
     bool comesBefore(const WaitingPrompt& a, const WaitingPrompt& b) const;
 
     EngineModel engines;
--- /dev/null
+++ b/tests/auto/knowledge/tst_freshness.cpp
@@ -0,0 +1,18 @@
+#include <knowledge/freshness.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace Knowledge;
+using namespace std::chrono_literals;
+
+TEST_GROUP(FreshnessTest) {};
+
+TEST(FreshnessTest, ageCountsFromTheNewestMomentThatIsKnown)
+{
+    Freshness freshness;
+    const Foundation::TimePoint start {};
+    CHECK_FALSE(freshness.age(start).has_value());
+    freshness.noteKnownUntil(start + 5s);
+    freshness.noteKnownUntil(start + 3s);
+    CHECK_TRUE(freshness.age(start + 7s) == 2s);
+}
--- /dev/null
+++ b/tests/auto/placement/tst_placementplanner.cpp
@@ -0,0 +1,151 @@
+#include <placement/placementplanner.h>
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+using namespace Placement;
+using namespace std::chrono_literals;
+
+namespace {
+
+EngineModel modelOfTests()
+{
+    Policy::EngineProfile engine;
+    engine.slots = 16;
+    engine.memoryTokens = 405'000;
+    engine.stepMs = 1.31;
+    engine.stepMsPerRequest = 0.000917;
+    engine.stepMsPerThousandContextTokens = 0.00213;
+    engine.promptTokensPerMs = 154;
+    engine.msPerMillionPairs = 0.162;
+    engine.chunkTokens = 2048;
+    engine.stepsPerPass = 34;
+    return EngineModel(engine);
+}
+
+PromptDemand demandOf(std::int64_t tokens, Foundation::Duration gap, Foundation::Duration goal)
+{
+    return { tokens, 600, gap, goal, weightOf(tokens) };
+}
+
+UpstreamShare shareOf(std::int64_t gapMs, std::int64_t count, std::int64_t tokensEach)
+{
+    UpstreamShare share;
+    share.requests = count;
+    share.tokens = count * tokensEach;
+    share.groups[gapMs] = { count, count * static_cast<std::int64_t>(weightOf(tokensEach) * 1e3) };
+    return share;
+}
+
+std::vector<EngineCandidate> candidatesOf(std::span<const UpstreamShare> shares)
+{
+    std::vector<EngineCandidate> candidates;
+    for (const UpstreamShare& share : shares) {
+        EngineCandidate candidate;
+        candidate.load = &share;
+        candidate.slots = 16;
+        candidates.push_back(candidate);
+    }
+    return candidates;
+}
+
+} // namespace
+
+TEST_GROUP(PlacementPlannerTest)
+{
+    EngineModel model = modelOfTests();
+    PromptDemand caption = demandOf(5'000, 250ms, 300ms);
+    PromptDemand review = demandOf(182'000, 1s, 3s);
+};
+
+TEST(PlacementPlannerTest, readingTimeFollowsTheTableOfThePages)
+{
+    CHECK_TRUE(this->model.readingTime(45'000) > 450ms && this->model.readingTime(45'000) < 460ms);
+    CHECK_TRUE(this->model.readingTime(182'000, 16) > 240ms && this->model.readingTime(182'000, 16) < 244ms);
+}
+
+TEST(PlacementPlannerTest, aLongPromptIsReadByEnginesWithoutShortStreams)
+{
+    std::vector<UpstreamShare> shares(16);
+    for (std::size_t i = 0; i < 4; ++i)
+        shares[i] = shareOf(250, 12, 5'000);
+    const auto placement = placePrompt(this->model, candidatesOf(shares), this->review);
+    CHECK_TRUE(placement.has_value());
+    CHECK_TRUE(placement->harm == 0);
+    CHECK_TRUE(placement->upstream >= 4);
+    for (const PlacedHelper& helper : placement->helpers)
+        CHECK_TRUE(helper.index >= 4);
+    CHECK_TRUE(placement->helpers.size() >= 8);
+    CHECK_TRUE(placement->firstEvent < 1s);
+}
+
+TEST(PlacementPlannerTest, shortPromptsFillAnEngineBeforeTheNext)
+{
+    std::vector<UpstreamShare> shares(16);
+    shares[3] = shareOf(250, 6, 5'000);
+    const auto placement = placePrompt(this->model, candidatesOf(shares), this->caption);
+    UNSIGNED_LONGS_EQUAL(3, placement->upstream);
+    shares[3] = shareOf(250, 12, 5'000);
+    const auto next = placePrompt(this->model, candidatesOf(shares), this->caption);
+    CHECK_TRUE(next->upstream != 3);
+}
+
+TEST(PlacementPlannerTest, shortPromptsLeaveTheLastEnginesToLongOnes)
+{
+    std::vector<UpstreamShare> shares(16, shareOf(250, 11, 5'000));
+    shares[14] = {};
+    shares[15] = {};
+    const auto placement = placePrompt(this->model, candidatesOf(shares), this->caption);
+    CHECK_TRUE(placement->upstream < 14);
+}
+
+TEST(PlacementPlannerTest, aPromptLargerThanAnEngineIsHeldBySeveral)
+{
+    const std::vector<UpstreamShare> shares(16);
+    const auto placement = placePrompt(this->model, candidatesOf(shares), demandOf(700'000, 1s, 3s));
+    CHECK_TRUE(placement.has_value());
+    std::int64_t held = placement->tokens;
+    for (const PlacedHelper& helper : placement->helpers)
+        held += helper.heldTokens;
+    CHECK_TRUE(held >= 700'600);
+}
+
+TEST(PlacementPlannerTest, noEngineIsPromisedMoreMemoryOrSlotsThanItHas)
+{
+    CHECK_TRUE(rc::check([this] {
+        const auto fills = *rc::gen::container<std::vector<int>>(12, rc::gen::inRange(0, 17));
+        const auto tokensEach = *rc::gen::element<std::int64_t>(5'000, 45'000, 150'000);
+        std::vector<UpstreamShare> shares;
+        for (const int fill : fills) {
+            const auto fitting = std::min<std::int64_t>(fill, 400'000 / tokensEach);
+            shares.push_back(shareOf(1'000, fitting, tokensEach));
+        }
+        const auto tokens = *rc::gen::inRange<std::int64_t>(1'000, 900'000);
+        const auto placement = placePrompt(this->model, candidatesOf(shares), demandOf(tokens, 1s, 3s));
+        if (!placement)
+            return;
+        const auto fits = [&](std::size_t index, std::int64_t more) {
+            return shares[index].tokens + more <= this->model.profile().memoryTokens;
+        };
+        RC_ASSERT(shares[placement->upstream].requests < 16);
+        RC_ASSERT(fits(placement->upstream, placement->tokens));
+        std::set<std::size_t> engines { placement->upstream };
+        for (const PlacedHelper& helper : placement->helpers) {
+            RC_ASSERT(engines.insert(helper.index).second);
+            RC_ASSERT(fits(helper.index, helper.heldTokens));
+        }
+        RC_ASSERT(placement->helpers.size() <= 16);
+    }));
+}
+
+TEST(PlacementPlannerTest, anEngineThatMustNotHelpIsLeftOut)
+{
+    const std::vector<UpstreamShare> shares(8);
+    auto candidates = candidatesOf(shares);
+    candidates[7].mayHelp = false;
+    candidates[7].mayRun = false;
+    const auto placement = placePrompt(this->model, candidates, this->review);
+    CHECK_TRUE(placement->upstream != 7);
+    for (const PlacedHelper& helper : placement->helpers)
+        CHECK_TRUE(helper.index != 7);
+}
--- /dev/null
+++ b/tests/auto/placement/tst_waitingline.cpp
@@ -0,0 +1,326 @@
+#include "enginefleet.h"
+
+#include <placement/loadledger.h>
+#include <placement/waitingline.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <cmath>
+#include <random>
+
+using namespace Placement;
+using Foundation::Duration;
+using Foundation::TimePoint;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t engineCount = 16;
+// The highest factor by which a burst raises a kind's arrivals.
+constexpr double highestFactor = 2.7;
+
+EngineModel modelOfTests()
+{
+    Policy::EngineProfile engine;
+    engine.slots = 16;
+    engine.memoryTokens = 405'000;
+    engine.stepMs = 1.31;
+    engine.promptTokensPerMs = 154;
+    engine.msPerMillionPairs = 0.162;
+    engine.stepsPerPass = 34;
+    return EngineModel(engine);
+}
+
+struct Kind {
+    double perSecond = 0;
+    double meanTokens = 0;
+    double spread = 0;
+    double mostTokens = 0;
+    int events = 1;
+    Duration goal {};
+    Duration gap {};
+};
+
+// Arrivals of all kinds over a time, in order. Ten seconds with few short prompts and many long ones follow ten with
+// many short and hardly any long ones, and so on.
+std::vector<PlayedPrompt> arrivalsOf(const std::vector<Kind>& kinds, Duration length, unsigned seed)
+{
+    std::mt19937 generator(seed);
+    std::vector<PlayedPrompt> prompts;
+    for (const Kind& kind : kinds) {
+        const bool isShort = kind.meanTokens < 10'000;
+        double at = 0;
+        while (true) {
+            at += std::exponential_distribution<double>(kind.perSecond * highestFactor)(generator);
+            if (Foundation::fromSeconds(at) >= length)
+                break;
+            const bool isLongBurst = std::fmod(at, 20) >= 10;
+            const double factor = isShort ? (isLongBurst ? 0.35 : 2.4) : (isLongBurst ? 2.7 : 0.05);
+            if (std::uniform_real_distribution<double>(0, highestFactor)(generator) >= factor)
+                continue;
+            const double logMean = std::log(kind.meanTokens) - kind.spread * kind.spread / 2;
+            PlayedPrompt prompt;
+            prompt.promptTokens = static_cast<std::int64_t>(
+                std::min(kind.mostTokens, std::lognormal_distribution<double>(logMean, kind.spread)(generator)));
+            prompt.events = kind.events;
+            prompt.goal = kind.goal;
+            prompt.gap = kind.gap;
+            prompt.arrived = TimePoint {} + Foundation::fromSeconds(at);
+            prompts.push_back(prompt);
+        }
+    }
+    std::ranges::sort(prompts, {}, &PlayedPrompt::arrived);
+    return prompts;
+}
+
+// The load of the users' sheets: captions, decks and reviews.
+std::vector<Kind> kindsOfTheUsers()
+{
+    return { { 25, 4'960, 0.9, 23'800, 38, 300ms, 250ms }, { 1.4, 45'000, 0.5, 110'000, 23, 1'500ms, 600ms },
+        { 0.65, 182'000, 0.55, 390'000, 19, 3s, 1s } };
+}
+
+struct Served {
+    int shortCount = 0;
+    int shortInTime = 0;
+    int longCount = 0;
+    int longInTime = 0;
+
+    double shortShare() const { return static_cast<double>(this->shortInTime) / this->shortCount; }
+    double longShare() const { return static_cast<double>(this->longInTime) / this->longCount; }
+};
+
+Served countOf(const std::vector<PlayedPrompt>& prompts)
+{
+    Served served;
+    for (const PlayedPrompt& prompt : prompts) {
+        const bool isLong = prompt.goal >= 1s;
+        (isLong ? served.longCount : served.shortCount) += 1;
+        if (prompt.isInTime())
+            (isLong ? served.longInTime : served.shortInTime) += 1;
+    }
+    return served;
+}
+
+// Plays a load through the waiting line and the planner, as a gateway does.
+class LinePlay {
+public:
+    explicit LinePlay(std::vector<PlayedPrompt> prompts)
+        : prompts(std::move(prompts))
+    {
+    }
+
+    Served play()
+    {
+        std::size_t next = 0;
+        const TimePoint end = this->prompts.back().arrived + 20s;
+        for (TimePoint now {}; now < end; now += 5ms) {
+            this->clock.advance(5ms);
+            this->note(this->fleet.playUntil(now));
+            for (; next < this->prompts.size() && this->prompts[next].arrived <= now; ++next)
+                this->enqueue(next);
+            this->review(now);
+        }
+        return countOf(this->prompts);
+    }
+
+    int refusals = 0;
+
+private:
+    void enqueue(std::size_t index)
+    {
+        const PlayedPrompt& prompt = this->prompts[index];
+        WaitingPrompt waiting;
+        waiting.id = index;
+        waiting.demand = { prompt.promptTokens, prompt.events * 34, prompt.gap, prompt.goal,
+            weightOf(prompt.promptTokens) };
+        waiting.goalAt = prompt.arrived + prompt.goal;
+        waiting.patienceEnd = prompt.arrived + std::max<Duration>(2s, 4 * prompt.goal);
+        waiting.lateWait = 1'500ms;
+        this->line.add(waiting);
+    }
+
+    void review(TimePoint now)
+    {
+        this->line.review(now, engineCount,
+            { [this](const WaitingPrompt& prompt) { return this->place(prompt); },
+                [this, now](WaitingId id, const PromptPlacement& placement) { this->start(id, placement, now); },
+                [this](WaitingId, Foundation::ResultCode, Duration) { ++this->refusals; } });
+    }
+
+    std::optional<PromptPlacement> place(const WaitingPrompt& prompt)
+    {
+        std::vector<EngineCandidate> candidates;
+        for (std::size_t i = 0; i < engineCount; ++i) {
+            EngineCandidate candidate;
+            candidate.load = &this->ledger.loadOf(std::to_string(i));
+            candidate.readingLeft = this->ledger.readingLeft(std::to_string(i));
+            candidate.slots = 16;
+            candidates.push_back(candidate);
+        }
+        return placePrompt(this->model, candidates, prompt.demand);
+    }
+
+    void start(WaitingId id, const PromptPlacement& placement, TimePoint now)
+    {
+        PlayedPrompt& prompt = this->prompts[id];
+        const auto partUs = std::chrono::duration_cast<std::chrono::microseconds>(placement.partTime).count();
+        Job job;
+        job.upstream = std::to_string(placement.upstream);
+        job.tokens = placement.tokens;
+        job.gapMs = Foundation::toMilliseconds(prompt.gap);
+        job.weight = static_cast<std::int64_t>(weightOf(prompt.promptTokens) * 1e3);
+        job.parts.push_back({ job.upstream, partUs, 0 });
+        std::vector<std::size_t> helpers;
+        for (const PlacedHelper& helper : placement.helpers) {
+            job.parts.push_back({ std::to_string(helper.index), partUs, helper.heldTokens });
+            helpers.push_back(helper.index);
+        }
+        this->jobs[id] = this->ledger.begin(std::move(job));
+        this->fleet.start(id, prompt, placement.upstream, helpers, now);
+    }
+
+    void note(const EngineFleet::Happenings& happenings)
+    {
+        for (const std::size_t prompt : happenings.begun)
+            this->ledger.noteReadingDone(this->jobs.at(prompt));
+        for (const std::size_t prompt : happenings.ended)
+            this->ledger.end(this->jobs.at(prompt));
+    }
+
+    std::vector<PlayedPrompt> prompts;
+    Foundation::ManualClock clock;
+    EngineModel model = modelOfTests();
+    LoadLedger ledger { this->clock };
+    WaitingLine line { this->model };
+    EngineFleet fleet { this->model, engineCount };
+    std::map<std::size_t, JobId> jobs;
+};
+
+// Plays a load with the naive choice: each prompt goes at once to the engine with the fewest requests.
+Served playLeastLoaded(std::vector<PlayedPrompt> prompts)
+{
+    const EngineModel model = modelOfTests();
+    EngineFleet fleet(model, engineCount);
+    std::vector<int> loads(engineCount);
+    std::map<std::size_t, std::size_t> places;
+    std::size_t next = 0;
+    const TimePoint end = prompts.back().arrived + 20s;
+    for (TimePoint now {}; now < end; now += 5ms) {
+        for (const std::size_t prompt : fleet.playUntil(now).ended)
+            --loads[places[prompt]];
+        for (; next < prompts.size() && prompts[next].arrived <= now; ++next) {
+            const auto place = static_cast<std::size_t>(std::ranges::min_element(loads) - loads.begin());
+            ++loads[place];
+            places[next] = place;
+            fleet.start(next, prompts[next], place, {}, now);
+        }
+    }
+    return countOf(prompts);
+}
+
+WaitingPrompt promptOf(WaitingId id, std::int64_t tokens, Duration goal, Duration gap, TimePoint arrived)
+{
+    WaitingPrompt prompt;
+    prompt.id = id;
+    prompt.demand = { tokens, 600, gap, goal, weightOf(tokens) };
+    prompt.goalAt = arrived + goal;
+    prompt.patienceEnd = arrived + 4 * goal;
+    prompt.lateWait = 1s;
+    return prompt;
+}
+
+} // namespace
+
+TEST_GROUP(WaitingLineTest)
+{
+    WaitingLine line { modelOfTests() };
+    std::vector<WaitingId> dispatched;
+    std::vector<WaitingId> refused;
+    std::function<std::optional<PromptPlacement>(const WaitingPrompt&)> place;
+
+    void review(TimePoint now, std::size_t engines = engineCount)
+    {
+        this->line.review(now, engines,
+            { this->place, [this](WaitingId id, const PromptPlacement&) { this->dispatched.push_back(id); },
+                [this](WaitingId id, Foundation::ResultCode, Duration) { this->refused.push_back(id); } });
+    }
+};
+
+TEST(WaitingLineTest, shortPromptsGoBeforeLongOnesAndThoseBeforeLateOnes)
+{
+    this->place = [](const WaitingPrompt&) { return PromptPlacement {}; };
+    const TimePoint now = TimePoint {} + 10s;
+    this->line.add(promptOf(1, 182'000, 3s, 1s, now - 3s));
+    this->line.add(promptOf(2, 182'000, 3s, 1s, now));
+    this->line.add(promptOf(3, 5'000, 300ms, 250ms, now));
+    this->review(now);
+    CHECK_TRUE(this->dispatched == std::vector<WaitingId>({ 3, 2, 1 }));
+}
+
+TEST(WaitingLineTest, aPromptWaitsWhileItWouldHoldStreamsUpAndCanStillBeInTime)
+{
+    this->place = [](const WaitingPrompt&) {
+        PromptPlacement placement;
+        placement.firstEvent = 1s;
+        placement.harm = 5;
+        return placement;
+    };
+    const TimePoint now = TimePoint {} + 10s;
+    this->line.add(promptOf(1, 182'000, 3s, 1s, now));
+    this->review(now);
+    CHECK_TRUE(this->dispatched.empty());
+    // Its worth is above the harm, so it runs before it becomes late.
+    this->review(now + 2'700ms);
+    UNSIGNED_LONGS_EQUAL(1, this->dispatched.size());
+}
+
+TEST(WaitingLineTest, whatHoldsUpMoreThanItIsWorthIsRefusedAndNotHeldToItsDeadline)
+{
+    this->place = [](const WaitingPrompt&) {
+        PromptPlacement placement;
+        placement.firstEvent = 4s;
+        placement.harm = 1'000;
+        return placement;
+    };
+    const TimePoint now = TimePoint {} + 10s;
+    this->line.add(promptOf(1, 182'000, 3s, 1s, now));
+    this->review(now + 2s);
+    CHECK_TRUE(this->refused.empty());
+    this->review(now + 5s);
+    UNSIGNED_LONGS_EQUAL(1, this->refused.size());
+    UNSIGNED_LONGS_EQUAL(0, this->line.size());
+}
+
+TEST(WaitingLineTest, withoutEnginesAPromptIsRefusedAtOnce)
+{
+    this->place = [](const WaitingPrompt&) { return std::nullopt; };
+    this->line.add(promptOf(1, 5'000, 300ms, 250ms, TimePoint {}));
+    this->review(TimePoint {}, 0);
+    UNSIGNED_LONGS_EQUAL(1, this->refused.size());
+}
+
+TEST(WaitingLineTest, aCallerThatLeftIsNotServed)
+{
+    this->place = [](const WaitingPrompt&) { return PromptPlacement {}; };
+    this->line.add(promptOf(1, 5'000, 300ms, 250ms, TimePoint {}));
+    this->line.remove(1);
+    this->review(TimePoint {});
+    CHECK_TRUE(this->dispatched.empty());
+}
+
+// The aim of the first letter: 95 of 100 in time. The long prompts' bursts take two thirds of all engines.
+TEST(WaitingLineTest, shortPromptsStayInTimeThroughBurstsOfLongOnes)
+{
+    for (const unsigned seed : { 1U, 2U, 3U }) {
+        const auto prompts = arrivalsOf(kindsOfTheUsers(), 40s, seed);
+        LinePlay play(prompts);
+        const Served served = play.play();
+        const Served naive = playLeastLoaded(prompts);
+        printf("seed %u: %d %d short %.3f (naive %.3f), long %.3f (naive %.3f), %d refused\n", seed, served.shortCount, served.longCount, served.shortShare(),
+            naive.shortShare(), served.longShare(), naive.longShare(), play.refusals);
+        CHECK_TRUE(served.shortShare() >= 0.95);
+        CHECK_TRUE(served.shortShare() > naive.shortShare());
+        CHECK_TRUE(served.longShare() > naive.longShare());
+    }
+}
--- /dev/null
+++ b/tests/auto/relay/tst_eventsplitter.cpp
@@ -0,0 +1,64 @@
+#include <relay/eventsplitter.h>
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+using namespace Relay;
+
+TEST_GROUP(EventSplitterTest) {};
+
+TEST(EventSplitterTest, onlyWholeEventsArePassedOn)
+{
+    EventSplitter splitter;
+    STRCMP_EQUAL("", splitter.take("id: 1\nda").c_str());
+    STRCMP_EQUAL("id: 1\ndata: x\n\n", splitter.take("ta: x\n\nid: 2\n").c_str());
+    STRCMP_EQUAL("1", splitter.lastId().c_str());
+    STRCMP_EQUAL("id: 2\n", splitter.rest().c_str());
+    UNSIGNED_LONGS_EQUAL(1, splitter.eventCount());
+}
+
+TEST(EventSplitterTest, bytesComeOutAsTheyCameInHoweverTheyAreCut)
+{
+    CHECK_TRUE(rc::check([] {
+        const auto count = *rc::gen::inRange(0, 8);
+        std::string text;
+        for (int i = 1; i <= count; ++i)
+            text += "x-weight-versions: 3\nid: " + std::to_string(i) + "\ndata: " + std::string(static_cast<std::size_t>(i), 'd') + "\n\n";
+        const auto cuts = *rc::gen::container<std::vector<std::size_t>>(rc::gen::inRange<std::size_t>(1, 9));
+        EventSplitter splitter;
+        std::string out;
+        std::string_view rest = text;
+        for (std::size_t i = 0; !rest.empty(); ++i) {
+            const std::size_t size = std::min(rest.size(), cuts.empty() ? rest.size() : cuts[i % cuts.size()]);
+            out += splitter.take(rest.substr(0, size));
+            rest.remove_prefix(size);
+        }
+        RC_ASSERT(out + splitter.rest() == text);
+        RC_ASSERT(splitter.eventCount() == static_cast<std::uint64_t>(count));
+    }));
+}
+
+TEST(EventSplitterTest, aResumedRunGoesOnAfterTheLastWholeEvent)
+{
+    EventSplitter splitter;
+    splitter.take("id: 4\ndata: a\n\nid: 5\nda");
+    splitter.beginResumedRun();
+    STRCMP_EQUAL("id: 5\ndata: b\n\n", splitter.take("id: 5\ndata: b\n\n").c_str());
+    CHECK_FALSE(splitter.isOutOfOrder());
+}
+
+TEST(EventSplitterTest, aRunThatBeginsAnewIsNotJoined)
+{
+    EventSplitter splitter;
+    splitter.take("id: 4\ndata: a\n\n");
+    splitter.beginResumedRun();
+    STRCMP_EQUAL("", splitter.take("id: 1\ndata: a\n\n").c_str());
+    CHECK_TRUE(splitter.isOutOfOrder());
+}
+
+TEST(EventSplitterTest, linesMayEndWithReturns)
+{
+    EventSplitter splitter;
+    STRCMP_EQUAL("id:7\r\ndata: a\r\n\r\n", splitter.take("id:7\r\ndata: a\r\n\r\n").c_str());
+    STRCMP_EQUAL("7", splitter.lastId().c_str());
+}
