--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -44,7 +44,7 @@
     , ledger(this->clock)
     , retries(retryBoundOf(settings.node))
     , suspects(this->clock, crashLimit)
-    , mesh(context, this->clock, settings.node.name, settings.node.peers.text(),
+    , mesh(context, this->clock, settings.node.name, settings.node.peers.text(), settings.node.failureDomain,
           { [this](const std::string& peer, const Wire::PeerLoad& load) {
                this->ledger.setPeerShares(peer, load.shares, load.isComplete);
                this->dispatcher.review();
@@ -69,7 +69,9 @@
     , knowledge(context, this->transfers, this->clock, this->bootClock, this->metrics, this->settings,
           { [this] { this->onKnowledgeChanged(); },
               [this](const std::map<std::string, std::string>& addresses) { this->mesh.setMembers(addresses); },
-              [this](const Wire::KnowledgeQuery& query) { return this->mesh.ask(query); } })
+              [this](const Wire::KnowledgeQuery& query) { return this->mesh.ask(query); },
+              [this](const Wire::KnowledgeReply& news) { this->mesh.tellNeighbours(news); },
+              [this] { return this->mesh.rank(); } })
     , dispatcher(this->clock, this->knowledge.directory(), this->health, this->ledger,
           settings.node.regionByFailureDomain, settings.node.failureDomain)
     , flowContext { this->clock, this->metrics, this->transfers, this->knowledge, this->dispatcher, this->ledger,
--- a/src/apps/gateway/knowledgekeeper.cpp
+++ b/src/apps/gateway/knowledgekeeper.cpp
@@ -20,12 +20,17 @@
 
 // The operator's topic changes rarely: the store holds the call until it does. A connection that went silent is
 // noticed after this time and the store's answer timeout, within the time that a change may take.
-constexpr Duration operatorWait = std::chrono::milliseconds(1'200);
+constexpr Duration operatorWait = std::chrono::milliseconds(1'000);
 // The upstreams' topic gets a record from each upstream at each heartbeat, so waiting there would return at once. An
 // upstream may be used for 2 s after it says that it leaves.
 constexpr Duration upstreamPause = std::chrono::milliseconds(450);
 // Gateways come and go rarely, and they tell each other their addresses.
-constexpr Duration peerPause = std::chrono::seconds(4);
+constexpr Duration peerWait = std::chrono::seconds(15);
+// One gateway of a failure domain reads for all. Another one reads if it was told nothing for so much longer than the
+// reader needs, and so much longer again for each that comes before it.
+constexpr Duration rankDelay = std::chrono::milliseconds(300);
+// The way between two gateways, for the age of what one tells.
+constexpr Duration wayAllowance = std::chrono::milliseconds(20);
 // The pause after a failed read.
 constexpr Duration failurePause = std::chrono::milliseconds(250);
 // Without an answer of the store for this long, another gateway is asked, and asked again at the interval.
@@ -104,7 +109,7 @@
     this->upstreamFollower.pause = upstreamPause;
     this->peerFollower.topic = PlatformAdapter::Topic::peers;
     this->peerFollower.records = &this->peerRecords;
-    this->peerFollower.pause = peerPause;
+    this->peerFollower.wait = peerWait;
 }
 
 void KnowledgeKeeper::start()
@@ -112,6 +117,7 @@
     const TimePoint now = this->clock.now();
     for (Follower* const follower : { &this->operatorFollower, &this->upstreamFollower, &this->peerFollower }) {
         follower->lastSuccess = now;
+        follower->lastKnown = now;
         follower->nextRead = now;
     }
     this->tick();
@@ -137,7 +143,7 @@
     const TimePoint now = this->clock.now();
     this->registerSelf();
     for (Follower* const follower : { &this->operatorFollower, &this->upstreamFollower, &this->peerFollower }) {
-        if (!follower->isReading && now >= follower->nextRead)
+        if (this->isDue(*follower))
             this->read(*follower);
     }
     this->askPeerIfDue();
@@ -150,6 +156,22 @@
         this->handlers.onChange();
 }
 
+bool KnowledgeKeeper::isDue(const Follower& follower) const
+{
+    const TimePoint now = this->clock.now();
+    if (follower.isReading || now < follower.nextRead)
+        return false;
+    const std::size_t rank = this->handlers.rank();
+    if (!follower.isListed || rank == 0 || &follower == &this->peerFollower)
+        return true;
+    return now - follower.lastKnown >= follower.wait + follower.pause + static_cast<int>(rank) * rankDelay;
+}
+
+std::int64_t KnowledgeKeeper::ageOf(const Follower& follower, TimePoint now)
+{
+    return Foundation::toMilliseconds(now - follower.lastKnown);
+}
+
 void KnowledgeKeeper::registerSelf()
 {
     const TimePoint now = this->clock.now();
@@ -212,9 +234,21 @@
     follower.nextRead = this->clock.now() + follower.pause;
     if (&follower == &this->operatorFollower)
         this->freshness.noteKnownUntil(std::min(sent + served, this->bootClock.now()));
+    if (&follower != &this->peerFollower)
+        this->tellNeighbours();
     this->tick();
 }
 
+void KnowledgeKeeper::tellNeighbours()
+{
+    Wire::KnowledgeReply news = this->answer({ this->operatorEndTold, this->upstreamRecords.end() });
+    if (!news.isKnown)
+        return;
+    news.upstreamRecords = std::exchange(this->upstreamChanges, {});
+    this->operatorEndTold = news.operatorEnd;
+    this->handlers.tellNeighbours(news);
+}
+
 void KnowledgeKeeper::noteSuccess(Follower& follower)
 {
     const TimePoint now = this->clock.now();
@@ -227,6 +261,7 @@
         this->upstreamDirectory.noteOutage(now + lapseGrace);
     follower.isFailing = false;
     follower.lastSuccess = now;
+    follower.lastKnown = now;
 }
 
 void KnowledgeKeeper::onFailure(Follower& follower, std::string_view reason)
@@ -243,13 +278,12 @@
 {
     const TimePoint now = this->clock.now();
     const auto isAway = [now](const Follower& follower) {
-        return now - follower.lastSuccess > askAfter + follower.wait + follower.pause;
+        return now - follower.lastKnown > askAfter + follower.wait + follower.pause;
     };
     const bool isNeeded = isAway(this->operatorFollower) || isAway(this->upstreamFollower);
     if (!isNeeded || now < this->nextQuery)
         return;
     this->nextQuery = now + askInterval;
-    this->querySent = this->bootClock.now();
     this->handlers.askPeer({ this->operatorRecords.end(), this->upstreamRecords.end() });
 }
 
@@ -258,17 +292,25 @@
     if (!reply.isKnown)
         return;
     const std::uint64_t endBefore = this->operatorRecords.end();
+    const TimePoint now = this->clock.now();
     if (reply.graceMs > 0)
-        this->upstreamDirectory.noteOutage(this->clock.now() + std::chrono::milliseconds(reply.graceMs));
+        this->upstreamDirectory.noteOutage(now + std::chrono::milliseconds(reply.graceMs));
     this->operatorRecords.mergeRun(reply.operatorRecords, reply.operatorEnd);
+    // What one neighbour tells the others need not be told again.
+    const std::size_t changesHere = this->upstreamChanges.size();
     this->upstreamRecords.mergeRun(reply.upstreamRecords, reply.upstreamEnd);
-    this->operatorFollower.isListed = true;
-    this->upstreamFollower.isListed = true;
-    this->freshness.noteKnownUntil(this->querySent - std::chrono::milliseconds(reply.ageMs));
+    this->upstreamChanges.resize(changesHere);
+    const auto note = [now](Follower& follower, std::int64_t ageMs) {
+        follower.isListed = true;
+        follower.lastKnown = std::max(follower.lastKnown, now - std::chrono::milliseconds(ageMs));
+    };
+    note(this->operatorFollower, reply.operatorAgeMs);
+    note(this->upstreamFollower, reply.upstreamAgeMs);
+    this->freshness.noteKnownUntil(this->bootClock.now() - wayAllowance - std::chrono::milliseconds(reply.operatorAgeMs));
     this->metrics.counter("bluebell_knowledge_from_peers_total").fetch_add(1);
     if (reply.operatorEnd > endBefore)
         logEvent(Event::KnowledgeFromPeer, "",
-            "operator_end=" + std::to_string(reply.operatorEnd) + " age_ms=" + std::to_string(reply.ageMs));
+            "operator_end=" + std::to_string(reply.operatorEnd) + " age_ms=" + std::to_string(reply.operatorAgeMs));
     this->tick();
 }
 
@@ -283,7 +325,8 @@
     reply.upstreamRecords = this->upstreamRecords.newerThan(query.upstreamEnd);
     reply.operatorEnd = this->operatorRecords.end();
     reply.upstreamEnd = this->upstreamRecords.end();
-    reply.ageMs = Foundation::toMilliseconds(*known) + 1;
+    reply.operatorAgeMs = Foundation::toMilliseconds(*known) + 1;
+    reply.upstreamAgeMs = ageOf(this->upstreamFollower, this->clock.now()) + 1;
     const Duration grace = this->upstreamDirectory.graceEnd() - this->clock.now();
     reply.graceMs = std::max<std::int64_t>(0, Foundation::toMilliseconds(grace));
     return reply;
@@ -348,13 +391,17 @@
 
 void KnowledgeKeeper::onUpstreamRecord(const KeyedRecord& record)
 {
-    this->hasChanged = true;
     const TimePoint now = this->clock.now();
+    const auto entry = record.value ? PlatformAdapter::decodeUpstream(record.key, *record.value) : std::nullopt;
+    const std::uint64_t digest = entry ? Membership::digestOf(*entry) : 0;
+    if (std::exchange(this->upstreamDigests[record.key], digest) == digest && entry)
+        return;
+    this->hasChanged = true;
+    this->upstreamChanges.push_back(record);
     if (!record.value) {
         this->upstreamDirectory.remove(record.key, now);
         return;
     }
-    const auto entry = PlatformAdapter::decodeUpstream(record.key, *record.value);
     if (entry) {
         this->upstreamDirectory.update(*entry, now);
         return;
--- a/src/apps/gateway/knowledgekeeper.h
+++ b/src/apps/gateway/knowledgekeeper.h
@@ -36,6 +36,10 @@
         std::function<void(const std::map<std::string, std::string>&)> onPeers;
         /** Sends a query to some connected gateway. @return whether there is one. */
         std::function<bool(const Wire::KnowledgeQuery&)> askPeer;
+        /** Tells the gateways of this failure domain what was read. */
+        std::function<void(const Wire::KnowledgeReply&)> tellNeighbours;
+        /** @return how many connected gateways of this failure domain read before this one does. */
+        std::function<std::size_t()> rank;
     };
 
     KnowledgeKeeper(asio::io_context& context, Platform::HttpTransfers& transfers, const Foundation::Clock& clock,
@@ -51,7 +55,7 @@
     /** Does what is due; called at each tick of the process. */
     void tick();
 
-    /** Takes in the answer of another gateway to a query sent at the given time. */
+    /** Takes in what another gateway knows. */
     void onReply(const Wire::KnowledgeReply& reply);
 
     /** Answers the query of another gateway. */
@@ -85,6 +89,8 @@
         bool isReading = false;
         bool isFailing = false;
         Foundation::TimePoint lastSuccess {};
+        /** When the topic was last known to its end, here or by what another gateway told. */
+        Foundation::TimePoint lastKnown {};
         Foundation::TimePoint nextRead {};
         /** Reads of an earlier generation are ignored. */
         std::uint64_t generation = 0;
@@ -95,6 +101,9 @@
     void onFailure(Follower& follower, std::string_view reason);
     void noteSuccess(Follower& follower);
     void askPeerIfDue();
+    bool isDue(const Follower& follower) const;
+    void tellNeighbours();
+    static std::int64_t ageOf(const Follower& follower, Foundation::TimePoint now);
     void registerSelf();
 
     void onOperatorRecord(const Knowledge::KeyedRecord& record);
@@ -124,8 +133,11 @@
     bool isRegistering = false;
     Foundation::TimePoint nextRegistration {};
     Foundation::TimePoint nextQuery {};
-    /** When the newest query was sent, on the boot clock. */
-    Foundation::TimePoint querySent {};
+    /** The end up to which the neighbours were told the operator's records. */
+    std::uint64_t operatorEndTold = 0;
+    /** The entries of upstreams without what changes at each heartbeat, to tell only real changes on. */
+    std::map<std::string, std::uint64_t, std::less<>> upstreamDigests;
+    std::vector<Knowledge::KeyedRecord> upstreamChanges;
     bool wasStale = false;
     bool hasChanged = false;
 };
--- a/src/apps/gateway/peermesh.cpp
+++ b/src/apps/gateway/peermesh.cpp
@@ -29,10 +29,12 @@
 } // namespace
 
 PeerMesh::PeerMesh(
-    asio::io_context& context, const Foundation::Clock& clock, std::string self, std::string address, Handlers handlers)
+    asio::io_context& context, const Foundation::Clock& clock, std::string self, std::string address,
+    std::string failureDomain, Handlers handlers)
     : clock(clock)
     , self(std::move(self))
     , address(std::move(address))
+    , failureDomain(std::move(failureDomain))
     , handlers(std::move(handlers))
     , server(context,
           { [](Wire::ConnectionId) {},
@@ -135,6 +137,25 @@
     }
 }
 
+void PeerMesh::tellNeighbours(const Wire::Message& message)
+{
+    for (const auto& [peerAddress, process] : this->neighbours) {
+        const auto found = this->outgoing.find(peerAddress);
+        if (found != this->outgoing.end() && found->second.isOpen)
+            this->client.send(found->second.connection, message);
+    }
+}
+
+std::size_t PeerMesh::rank() const
+{
+    std::size_t before = 0;
+    for (const auto& [connection, peer] : this->incoming) {
+        if (peer.failureDomain == this->failureDomain && !peer.process.empty() && peer.process < this->self)
+            ++before;
+    }
+    return before;
+}
+
 bool PeerMesh::ask(const Wire::KnowledgeQuery& query)
 {
     std::vector<Wire::ConnectionId> open;
@@ -170,7 +191,7 @@
     peer->failures = 0;
     peer->lastHeard = this->clock.now();
     logEvent(Event::PeerConnected, "", "address=" + peerAddress);
-    const std::vector<Wire::Message> greeting { Wire::PeerHello { Wire::protocolVersion, this->self, this->address },
+    const std::vector<Wire::Message> greeting { Wire::PeerHello { Wire::protocolVersion, this->self, this->address, this->failureDomain },
         this->handlers.wholeLoad(), this->handlers.suspects() };
     this->client.send(connection, greeting);
 }
@@ -208,6 +229,9 @@
             return;
         }
         peer.process = hello->process;
+        peer.failureDomain = hello->failureDomain;
+        if (hello->failureDomain == this->failureDomain)
+            this->neighbours[hello->address] = hello->process;
         this->setMembers({ { hello->process, hello->address } });
         return;
     }
@@ -219,6 +243,8 @@
             this->server.send(connection, Wire::Heartbeat {});
     } else if (const auto* const query = std::get_if<Wire::KnowledgeQuery>(&message)) {
         this->server.send(connection, this->handlers.onQuery(*query));
+    } else if (const auto* const news = std::get_if<Wire::KnowledgeReply>(&message)) {
+        this->handlers.onReply(*news);
     } else if (const auto* const suspects = std::get_if<Wire::SuspectNotice>(&message)) {
         this->handlers.onSuspects(*suspects);
     }
--- a/src/apps/gateway/peermesh.h
+++ b/src/apps/gateway/peermesh.h
@@ -39,9 +39,10 @@
     /**
      * @param self the name of this process.
      * @param address where it takes connections of its peers.
+     * @param failureDomain the failure domain that it stands in.
      */
     PeerMesh(asio::io_context& context, const Foundation::Clock& clock, std::string self, std::string address,
-        Handlers handlers);
+        std::string failureDomain, Handlers handlers);
 
     /** Starts to listen. @return nothing, or SettingsInvalid. */
     Foundation::Result<void> listen(std::string_view ip, std::uint16_t port);
@@ -58,6 +59,12 @@
     /** Sends a message to every connected peer. */
     void broadcast(const Wire::Message& message);
 
+    /** Sends a message to every connected peer of this failure domain. */
+    void tellNeighbours(const Wire::Message& message);
+
+    /** @return how many connected peers of this failure domain come before this process by name. */
+    std::size_t rank() const;
+
     /** Asks one connected peer, another one each time. @return whether there is one. */
     bool ask(const Wire::KnowledgeQuery& query);
 
@@ -80,6 +87,7 @@
     /** A connection that a peer opened. */
     struct Incoming {
         std::string process;
+        std::string failureDomain;
         Foundation::TimePoint lastHeard {};
     };
 
@@ -95,8 +103,11 @@
     const Foundation::Clock& clock;
     std::string self;
     std::string address;
+    std::string failureDomain;
     Handlers handlers;
     std::map<std::string, std::string> members;
+    /** Processes of this failure domain, by address. */
+    std::map<std::string, std::string> neighbours;
     std::map<std::string, Outgoing> outgoing;
     std::map<Wire::ConnectionId, Incoming> incoming;
     Foundation::TimePoint nextHeartbeat {};
--- a/src/libs/membership/upstreamdirectory.cpp
+++ b/src/libs/membership/upstreamdirectory.cpp
@@ -1,9 +1,20 @@
 #include "upstreamdirectory.h"
 
+#include <foundation/identifier.h>
+
 #include <algorithm>
 
 namespace Membership {
 
+std::uint64_t digestOf(const UpstreamEntry& entry)
+{
+    // The fields come from another party, so they are joined by a byte that none of them holds.
+    const std::string text = std::to_string(entry.born) + '\0' + entry.service + '\0' + entry.address + '\0'
+        + entry.failureDomain + '\0' + std::to_string(entry.slots) + (entry.isDraining ? "d" : "r")
+        + std::to_string(Foundation::toMilliseconds(entry.coldLeft));
+    return Foundation::hashOf(text);
+}
+
 UpstreamDirectory::UpstreamDirectory(ChangeHandler onChange)
     : onChange(std::move(onChange))
 {
--- a/src/libs/membership/upstreamdirectory.h
+++ b/src/libs/membership/upstreamdirectory.h
@@ -28,6 +28,9 @@
     Foundation::Duration coldLeft {};
 };
 
+/** @return a number that differs between entries of one upstream that say different things. */
+std::uint64_t digestOf(const UpstreamEntry& entry);
+
 /** An upstream that is listed now. */
 struct Upstream {
     UpstreamEntry entry;
--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -360,6 +360,7 @@
     visitor("protocol", m.protocol);
     visitor("process", m.process);
     visitor("address", m.address);
+    visitor("domain", m.failureDomain);
 }
 
 template <typename V> void visit(V&& visitor, MessageOf<PeerLoad> auto& m)
@@ -381,7 +382,8 @@
     visitor("operatorEnd", m.operatorEnd);
     visitor("upstreamEnd", m.upstreamEnd);
     visitor("known", m.isKnown);
-    visitor("age", m.ageMs);
+    visitor("operatorAge", m.operatorAgeMs);
+    visitor("upstreamAge", m.upstreamAgeMs);
     visitor("grace", m.graceMs);
 }
 
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -179,6 +179,7 @@
     std::string process;
     /** Where the sender takes connections of other gateways. */
     std::string address;
+    std::string failureDomain;
 };
 
 /** What a gateway has under way; sent after each change, and whole at intervals. */
@@ -195,14 +196,16 @@
     std::uint64_t upstreamEnd = 0;
 };
 
+/** What a gateway knows of the store: an answer to a query, or what it has just read. */
 struct KnowledgeReply {
     std::vector<Knowledge::KeyedRecord> operatorRecords;
     std::vector<Knowledge::KeyedRecord> upstreamRecords;
     std::uint64_t operatorEnd = 0;
     std::uint64_t upstreamEnd = 0;
-    /** Whether the sender knows the operator's topic, and the greatest age of that, in ms. */
+    /** Whether the sender knows both topics, and the greatest ages of that, in ms. */
     bool isKnown = false;
-    std::int64_t ageMs = 0;
+    std::int64_t operatorAgeMs = 0;
+    std::int64_t upstreamAgeMs = 0;
     /** How much longer entries of upstreams that lapsed in an outage may come back, in ms. */
     std::int64_t graceMs = 0;
 };
