--- a/src/apps/gateway/dispatcher.cpp
+++ b/src/apps/gateway/dispatcher.cpp
@@ -147,8 +147,9 @@
                  const auto ticket = this->tickets.find(prompt.id);
                  return ticket == this->tickets.end() ? std::nullopt : this->place(prompt, ticket->second);
              },
-                [this](
-                    Placement::WaitingId id, const Placement::PromptPlacement& placement) { this->dispatch(id, placement); },
+                [this](Placement::WaitingId id, const Placement::PromptPlacement& placement) {
+                    this->dispatch(id, placement);
+                },
                 [this](Placement::WaitingId id, Foundation::ResultCode code, Duration retryAfter) {
                     this->refuse(id, code, retryAfter);
                 } });
--- a/src/apps/gateway/knowledgekeeper.cpp
+++ b/src/apps/gateway/knowledgekeeper.cpp
@@ -306,7 +306,8 @@
     };
     note(this->operatorFollower, reply.operatorAgeMs);
     note(this->upstreamFollower, reply.upstreamAgeMs);
-    this->freshness.noteKnownUntil(this->bootClock.now() - wayAllowance - std::chrono::milliseconds(reply.operatorAgeMs));
+    this->freshness.noteKnownUntil(
+        this->bootClock.now() - wayAllowance - std::chrono::milliseconds(reply.operatorAgeMs));
     this->metrics.counter("bluebell_knowledge_from_peers_total").fetch_add(1);
     if (reply.operatorEnd > endBefore)
         logEvent(Event::KnowledgeFromPeer, "",
--- a/src/apps/gateway/main.cpp
+++ b/src/apps/gateway/main.cpp
@@ -90,8 +90,8 @@
 int run(const Gateway::GatewaySettings& settings, const std::string& text)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    Foundation::startLogging("bluebell-gateway", settings.node.name,
-        { settings.logSeverity, settings.logLinesPerSecond });
+    Foundation::startLogging(
+        "bluebell-gateway", settings.node.name, { settings.logSeverity, settings.logLinesPerSecond });
     // Everything runs on this one thread: the machine gives a process a part of one core.
     asio::io_context context(1);
     Gateway::GatewayCore core(context, settings);
--- a/src/apps/gateway/memorykeeper.h
+++ b/src/apps/gateway/memorykeeper.h
@@ -55,11 +55,11 @@
         group.onDone = std::move(onDone);
         for (const MemoryNeed& need : needs) {
             Lease lease;
-            lease.ticket = { this->namePrefix + std::to_string(++this->lastTicket), need.upstream, need.address,
-                need.tokens };
+            lease.ticket
+                = { this->namePrefix + std::to_string(++this->lastTicket), need.upstream, need.address, need.tokens };
             group.leases.push_back(std::move(lease));
         }
-        for (std::size_t i = 0; i < needs.size(); ++i)
+        for (std::size_t i = 0; i < needs.size() && !this->groups.at(id).isReleasing; ++i)
             this->sendReserve(id, i);
         return id;
     }
--- a/src/apps/gateway/peermesh.cpp
+++ b/src/apps/gateway/peermesh.cpp
@@ -28,8 +28,7 @@
 
 } // namespace
 
-PeerMesh::PeerMesh(
-    asio::io_context& context, const Foundation::Clock& clock, std::string self, std::string address,
+PeerMesh::PeerMesh(asio::io_context& context, const Foundation::Clock& clock, std::string self, std::string address,
     std::string failureDomain, Handlers handlers)
     : clock(clock)
     , self(std::move(self))
@@ -191,7 +190,8 @@
     peer->failures = 0;
     peer->lastHeard = this->clock.now();
     logEvent(Event::PeerConnected, "", "address=" + peerAddress);
-    const std::vector<Wire::Message> greeting { Wire::PeerHello { Wire::protocolVersion, this->self, this->address, this->failureDomain },
+    const std::vector<Wire::Message> greeting { Wire::PeerHello { Wire::protocolVersion, this->self, this->address,
+                                                    this->failureDomain },
         this->handlers.wholeLoad(), this->handlers.suspects() };
     this->client.send(connection, greeting);
 }
--- a/src/apps/gateway/relayflow.cpp
+++ b/src/apps/gateway/relayflow.cpp
@@ -285,10 +285,9 @@
             [self, number](const std::string& data) { self->onData(number, data); },
             [self, number](const Platform::HttpCallResult& result) { self->onEnd(number, result); } });
     logEvent(Event::RequestPlaced, this->request.id,
-        "upstream=" + assignment.upstreamRun + " helpers=" + std::to_string(assignment.helpers.size())
-            + " holders=" + std::to_string(ticketNames.size()) + " waited_ms="
-            + msText(this->attempt->sent - this->arrived) + " expected_ms=" + msText(assignment.firstEvent)
-            + " send=" + std::to_string(this->sends));
+        "upstream=" + assignment.upstreamRun + " helpers=" + std::to_string(assignment.helpers.size()) + " holders="
+            + std::to_string(ticketNames.size()) + " waited_ms=" + msText(this->attempt->sent - this->arrived)
+            + " expected_ms=" + msText(assignment.firstEvent) + " send=" + std::to_string(this->sends));
 }
 
 void RelayFlow::onHead(std::uint64_t number, Platform::AnswerStart head)
--- a/src/libs/placement/placementplanner.h
+++ b/src/libs/placement/placementplanner.h
@@ -87,8 +87,7 @@
  * Tells how soon a prompt could have its first event if all engines were free.
  * @param engineCount the engines that may read.
  */
-Foundation::Duration fastestFirstEvent(
-    const EngineModel& model, std::int64_t promptTokens, std::size_t engineCount);
+Foundation::Duration fastestFirstEvent(const EngineModel& model, std::int64_t promptTokens, std::size_t engineCount);
 
 /** @return whether a prompt is so short that any engine may read it beside streams. */
 bool isShort(const EngineModel& model, const PromptDemand& demand);
--- a/src/libs/placement/waitingline.cpp
+++ b/src/libs/placement/waitingline.cpp
@@ -72,7 +72,8 @@
     // Engines may become free in time for a better place.
     if (prompt.demand.goalLeft > fastest + decisionSlack)
         return Verdict::Wait;
-    return placement.harm + placement.blocking <= (isInTime ? inTimeWorth : lateWorth) * weight ? Verdict::Run : Verdict::Wait;
+    return placement.harm + placement.blocking <= (isInTime ? inTimeWorth : lateWorth) * weight ? Verdict::Run
+                                                                                                : Verdict::Wait;
 }
 
 void WaitingLine::review(TimePoint now, std::size_t engineCount, const WaitingLineOwner& owner)
@@ -96,8 +97,7 @@
             owner.refuse(prompt.id, code, comeBackAfter);
             continue;
         }
-        const Duration fastest
-            = fastestFirstEvent(this->engines, prompt.demand.promptTokens, engineCount);
+        const Duration fastest = fastestFirstEvent(this->engines, prompt.demand.promptTokens, engineCount);
         const auto placement = owner.place(prompt);
         if (placement && this->judge(prompt, *placement, fastest) == Verdict::Run) {
             this->remove(prompt.id);
--- /dev/null
+++ b/tests/auto/gateway/standinstore.cpp
@@ -0,0 +1,108 @@
+#include "standinstore.h"
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace {
+
+std::string bigEndian(std::uint64_t number, int bytes)
+{
+    std::string text;
+    for (int shift = (bytes - 1) * 8; shift >= 0; shift -= 8)
+        text += static_cast<char>(number >> shift & 0xff);
+    return text;
+}
+
+std::string contentOf(const std::string& key, const std::string& value)
+{
+    return std::string(1, static_cast<char>(key.size())) + key + value;
+}
+
+std::string base64Of(const std::string& bytes)
+{
+    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+    const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+        reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(size));
+    return text;
+}
+
+Web::HttpReply jsonReply(const nlohmann::json& body) { return { 200, "application/json", {}, body.dump(), false }; }
+
+} // namespace
+
+StandinStore::StandinStore(asio::io_context& context, std::uint16_t port)
+    : server(context, { "127.0.0.1", port, 1 << 20 },
+        [this](const std::shared_ptr<Web::HttpExchange>& exchange) { this->handle(*exchange); })
+{
+}
+
+void StandinStore::start()
+{
+    this->server.start([](const std::string&) {});
+}
+
+void StandinStore::put(const std::string& topic, const std::string& key, const std::string& value)
+{
+    this->topics[topic].contents.push_back(contentOf(key, value));
+}
+
+void StandinStore::drop(const std::string& topic, const std::string& key) { this->put(topic, key, ""); }
+
+void StandinStore::dropHistory(const std::string& topic)
+{
+    this->topics[topic].first = this->topics[topic].contents.size();
+}
+
+void StandinStore::handle(Web::HttpExchange& exchange)
+{
+    ++this->calls;
+    const Web::HttpRequest& request = exchange.request();
+    if (this->isAway)
+        exchange.respond({ 503, "application/json", {}, "{}", false });
+    else if (request.path == "/log-read")
+        exchange.respond(this->readRun(request));
+    else if (request.path == "/log-newest")
+        exchange.respond(this->readListing(request));
+    else
+        exchange.respond(this->append(request));
+}
+
+Web::HttpReply StandinStore::readRun(const Web::HttpRequest& request)
+{
+    const Topic& topic = this->topics[std::string(request.parameter("topic"))];
+    const std::uint64_t from = std::stoull(std::string(request.parameter("from")));
+    if (from < topic.first)
+        return { 410, "application/json", {}, "{}", false };
+    std::string body = bigEndian(topic.contents.size(), 8) + bigEndian(topic.first, 8);
+    for (std::size_t i = from; i < topic.contents.size(); ++i)
+        body += bigEndian(topic.contents[i].size(), 4) + topic.contents[i];
+    return { 200, "application/octet-stream", {}, std::move(body), false };
+}
+
+Web::HttpReply StandinStore::readListing(const Web::HttpRequest& request)
+{
+    const Topic& topic = this->topics[std::string(request.parameter("topic"))];
+    std::map<std::string, nlohmann::json> newest;
+    for (std::size_t i = 0; i < topic.contents.size(); ++i) {
+        const std::string& content = topic.contents[i];
+        const auto keySize = static_cast<std::size_t>(content[0]);
+        const std::string key = content.substr(1, keySize);
+        const std::string value = content.substr(1 + keySize);
+        if (value.empty())
+            newest.erase(key);
+        else
+            newest[key] = { { "key", key }, { "value", base64Of(value) }, { "offset", i } };
+    }
+    nlohmann::json items = nlohmann::json::array();
+    for (const auto& [key, item] : newest)
+        items.push_back(item);
+    return jsonReply({ { "items", items }, { "has_more", false }, { "end_offset", topic.contents.size() } });
+}
+
+Web::HttpReply StandinStore::append(const Web::HttpRequest& request)
+{
+    Topic& topic = this->topics[std::string(request.parameter("topic"))];
+    topic.contents.push_back(request.body.substr(4));
+    return jsonReply({ { "offset", topic.contents.size() - 1 }, { "end_offset", topic.contents.size() } });
+}
--- /dev/null
+++ b/tests/auto/gateway/standinupstream.cpp
@@ -0,0 +1,96 @@
+#include "standinupstream.h"
+
+#include <nlohmann/json.hpp>
+
+namespace {
+
+constexpr int eventsOfStream = 5;
+
+Web::HttpReply replyTo(const Web::HttpRequest& request, int status, std::string body)
+{
+    return { status, "text/plain",
+        { { "X-Attempt-Id", std::string(request.header("X-Attempt-Id")) }, { "X-Response-Signature", "signed" } },
+        std::move(body), false };
+}
+
+std::string eventOf(int id) { return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n"; }
+
+} // namespace
+
+StandinUpstream::StandinUpstream(asio::io_context& context, std::string id, std::uint16_t port)
+    : id(std::move(id))
+    , port(port)
+    , server(context, { "127.0.0.1", port, 1 << 20 },
+          [this](const std::shared_ptr<Web::HttpExchange>& exchange) { this->handle(exchange); })
+{
+}
+
+void StandinUpstream::start()
+{
+    this->server.start([](const std::string&) {});
+}
+
+std::string StandinUpstream::entry(const std::string& service, bool isDraining) const
+{
+    const nlohmann::json entry = { { "service", service }, { "address", "127.0.0.1:" + std::to_string(this->port) },
+        { "zone", "a" }, { "version", "v1" }, { "slots", 4 }, { "state", isDraining ? "draining" : "ready" },
+        { "cold_left_ms", 0 }, { "born", 1 }, { "sequence", 1 } };
+    return entry.dump();
+}
+
+void StandinUpstream::handle(const std::shared_ptr<Web::HttpExchange>& exchange)
+{
+    const Web::HttpRequest& request = exchange->request();
+    if (this->conduct == Conduct::Misaddressed || request.header("X-Expect-Instance") != this->id) {
+        exchange->respond({ 421, "text/plain", { { "X-Instance-Id", "another" } }, "", false });
+        return;
+    }
+    if (this->conduct == Conduct::Reject) {
+        exchange->respond({ 503, "text/plain", { { "X-Not-Executed", "1" } }, "", false });
+        return;
+    }
+    this->runs.push_back(request);
+    const bool isStream = request.path.starts_with("/stream/");
+    const std::string_view last = request.header("Last-Event-Id");
+    switch (this->conduct) {
+    case Conduct::BreakBefore:
+        exchange->abort();
+        break;
+    case Conduct::Fail:
+        exchange->respond(replyTo(request, 500, "failed"));
+        break;
+    case Conduct::AnswerUnsigned:
+        exchange->respond({ 200, "text/plain", { { "X-Attempt-Id", std::string(request.header("X-Attempt-Id")) } },
+            "unsigned", false });
+        break;
+    case Conduct::AnswerForeign:
+        exchange->respond(
+            { 200, "text/plain", { { "X-Attempt-Id", "other" }, { "X-Response-Signature", "s" } }, "foreign", false });
+        break;
+    case Conduct::Silence:
+        exchange->onGone([this] { ++this->gone; });
+        this->silent.push_back(exchange);
+        break;
+    default:
+        if (isStream)
+            this->answerStream(*exchange, last.empty() ? 1 : std::stoi(std::string(last)) + 1);
+        else
+            exchange->respond(replyTo(request, 200, "answer of " + this->id));
+    }
+}
+
+void StandinUpstream::answerStream(Web::HttpExchange& exchange, int firstEvent)
+{
+    Web::HttpReply head = replyTo(exchange.request(), 200, "");
+    head.contentType = "text/event-stream";
+    exchange.beginStream(head);
+    for (int event = firstEvent; event <= eventsOfStream; ++event) {
+        if (this->conduct == Conduct::BreakMidway && event == 3) {
+            exchange.write("id: 3\nda");
+            exchange.abort();
+            return;
+        }
+        exchange.write(eventOf(event));
+    }
+    exchange.finish();
+}
--- /dev/null
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -0,0 +1,322 @@
+#include "gatewaycore.h"
+#include "standinstore.h"
+#include "standinupstream.h"
+
+#include <CppUTest/TestHarness.h>
+#include <asio.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace Gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::uint16_t unusedPort()
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    return acceptor.local_endpoint().port();
+}
+
+std::string documentOf(int version, const std::vector<std::string>& keys)
+{
+    const nlohmann::json document = { { "version", version },
+        { "routes",
+            { { { "name", "safe" }, { "host", "h" }, { "path_prefix", "/safe/" }, { "type", "safe" },
+                  { "timeout_ms", 900 }, { "goal_ms", 100 }, { "service", "app" }, { "max_attempts", 2 } },
+                { { "name", "unsafe" }, { "host", "h" }, { "path_prefix", "/unsafe/" }, { "type", "unsafe" },
+                    { "timeout_ms", 900 }, { "goal_ms", 100 }, { "service", "app" }, { "max_attempts", 1 } },
+                { { "name", "stream" }, { "host", "h" }, { "path_prefix", "/stream/" }, { "type", "streaming" },
+                    { "timeout_ms", 2000 }, { "goal_ms", 300 }, { "gap_target_ms", 250 }, { "service", "llm" },
+                    { "max_attempts", 2 }, { "resumable", true } } } },
+        { "services",
+            { { { "name", "app" } },
+                { { "name", "llm" },
+                    { "engine",
+                        { { "slots", 4 }, { "kv_capacity", 405000 }, { "stride", 34 }, { "step_ms", 1.31 },
+                            { "read_per_s", 154000 }, { "pairs_per_m", 0.162 }, { "chunk", 2048 } } } } } },
+        { "tenants", { { { "name", "tenant" }, { "api_keys", keys } } } } };
+    return document.dump();
+}
+
+GatewaySettings settingsOf(std::uint16_t storePort)
+{
+    GatewaySettings settings;
+    settings.node.name = "gateway-1";
+    settings.node.failureDomain = "a";
+    settings.node.peers = { "127.0.0.1", unusedPort() };
+    settings.node.storeAddress = "127.0.0.1:" + std::to_string(storePort);
+    settings.node.shutdownGrace = 8s;
+    settings.node.keyRevocation = 2s;
+    settings.node.policyDelay = 2s;
+    settings.node.retryRatio = 0.2;
+    settings.node.retrySlack = 20;
+    settings.node.retryWindow = 10s;
+    return settings;
+}
+
+struct Answer {
+    Platform::HttpCallResult result;
+    std::string body;
+    bool isOver = false;
+
+    std::string header(std::string_view name) const
+    {
+        for (const auto& field : this->result.headers) {
+            if (field.name == name)
+                return field.value;
+        }
+        return {};
+    }
+};
+
+} // namespace
+
+TEST_GROUP(GatewayTest)
+{
+    asio::io_context context { 1 };
+    std::uint16_t storePort = unusedPort();
+    std::uint16_t gatewayPort = unusedPort();
+    StandinStore store { this->context, this->storePort };
+    StandinUpstream one { this->context, "one", unusedPort() };
+    StandinUpstream two { this->context, "two", unusedPort() };
+    GatewayCore core { this->context, settingsOf(this->storePort) };
+    Web::HttpServer front { this->context, { "127.0.0.1", this->gatewayPort, 1 << 20 },
+        [this](const std::shared_ptr<Web::HttpExchange>& exchange) { this->core.serve(exchange); } };
+    Platform::HttpTransfers callers { this->context };
+    int lastRequest = 0;
+
+    void setup() override
+    {
+        this->store.start();
+        this->one.start();
+        this->two.start();
+        this->front.start([](const std::string&) {});
+    }
+
+    void begin(const std::string& service)
+    {
+        this->store.put("keyed.op", "config", documentOf(1, { "key" }));
+        this->store.put("keyed.servers", "one", this->one.entry(service));
+        this->store.put("keyed.servers", "two", this->two.entry(service));
+        CHECK_TRUE(this->core.start().has_value());
+        CHECK_TRUE(this->runUntil([this] { return this->core.isReady(); }));
+        // The topics are read one after the other; the upstreams may come last.
+        this->runFor(100ms);
+    }
+
+    template <typename Condition> bool runUntil(Condition condition, Foundation::Duration limit = 5s)
+    {
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            this->context.run_one_for(5ms);
+        return condition();
+    }
+
+    void runFor(Foundation::Duration length)
+    {
+        const auto end = std::chrono::steady_clock::now() + length;
+        while (std::chrono::steady_clock::now() < end)
+            this->context.run_one_for(5ms);
+    }
+
+    Platform::CallId send(const std::string& path, const std::shared_ptr<Answer>& answer,
+        const std::string& method = "GET", const std::string& key = "key")
+    {
+        Platform::HttpCall call;
+        call.method = method;
+        call.url = "http://127.0.0.1:" + std::to_string(this->gatewayPort) + path;
+        call.headers = { "Host: h", "X-Attempt-Id: r" + std::to_string(++this->lastRequest), "X-Deadline-Ms: 2000",
+            "Authorization: Token " + key, "X-Token-Usage: 1000,50" };
+        call.body = method == "POST" ? "body" : "";
+        call.connectionUse = Platform::ConnectionUse::Own;
+        return this->callers.stream(std::move(call),
+            { [](const Platform::AnswerStart&) {}, [answer](const std::string& data) { answer->body += data; },
+                [answer](Platform::HttpCallResult result) {
+                    answer->result = std::move(result);
+                    answer->isOver = true;
+                } });
+    }
+
+    Answer call(const std::string& path, const std::string& method = "GET", const std::string& key = "key")
+    {
+        const auto answer = std::make_shared<Answer>();
+        this->send(path, answer, method, key);
+        CHECK_TRUE(this->runUntil([&] { return answer->isOver; }));
+        return *answer;
+    }
+
+    std::size_t runCount() const { return this->one.runs.size() + this->two.runs.size(); }
+};
+
+TEST(GatewayTest, withoutADocumentNothingIsDecided)
+{
+    CHECK_TRUE(this->core.start().has_value());
+    LONGS_EQUAL(503, this->call("/safe/x").result.status);
+    CHECK_FALSE(this->core.isReady());
+}
+
+TEST(GatewayTest, anAnswerIsPassedOnAsItIs)
+{
+    this->begin("app");
+    const Answer answer = this->call("/safe/x?y=1");
+    LONGS_EQUAL(200, answer.result.status);
+    STRCMP_EQUAL("signed", answer.header("X-Response-Signature").c_str());
+    const Web::HttpRequest& run = this->one.runs.empty() ? this->two.runs.at(0) : this->one.runs.at(0);
+    STRCMP_EQUAL("/safe/x?y=1", run.target.c_str());
+    STRCMP_EQUAL("tenant", std::string(run.header("X-Tenant")).c_str());
+    CHECK_TRUE(run.header("Authorization").empty());
+}
+
+TEST(GatewayTest, unknownPathsAndKeysAreToldApart)
+{
+    this->begin("app");
+    LONGS_EQUAL(404, this->call("/nothing/").result.status);
+    LONGS_EQUAL(401, this->call("/safe/x", "GET", "wrong").result.status);
+    UNSIGNED_LONGS_EQUAL(0, this->runCount());
+}
+
+TEST(GatewayTest, anUnsafeCallThatMayHaveRunIsNotSentAgain)
+{
+    this->begin("app");
+    this->one.conduct = this->two.conduct = Conduct::BreakBefore;
+    const Answer answer = this->call("/unsafe/x", "POST");
+    LONGS_EQUAL(502, answer.result.status);
+    UNSIGNED_LONGS_EQUAL(1, this->runCount());
+}
+
+TEST(GatewayTest, anUnsafeCallThatWasRejectedIsSentElsewhere)
+{
+    this->begin("app");
+    this->one.conduct = Conduct::Reject;
+    for (int i = 0; i < 4; ++i)
+        LONGS_EQUAL(200, this->call("/unsafe/x", "POST").result.status);
+    UNSIGNED_LONGS_EQUAL(4, this->two.runs.size());
+}
+
+TEST(GatewayTest, aRefusalIsTrueAndSaysWhenToComeBack)
+{
+    this->begin("app");
+    this->one.conduct = this->two.conduct = Conduct::Reject;
+    const Answer answer = this->call("/unsafe/x", "POST");
+    LONGS_EQUAL(503, answer.result.status);
+    CHECK_FALSE(answer.header("Retry-After").empty());
+    UNSIGNED_LONGS_EQUAL(0, this->runCount());
+}
+
+TEST(GatewayTest, aSafeCallRunsAgainAfterAFailureButNotMoreOftenThanItsRouteAllows)
+{
+    this->begin("app");
+    this->one.conduct = this->two.conduct = Conduct::Fail;
+    const Answer answer = this->call("/safe/x");
+    LONGS_EQUAL(500, answer.result.status);
+    STRCMP_EQUAL("signed", answer.header("X-Response-Signature").c_str());
+    UNSIGNED_LONGS_EQUAL(2, this->runCount());
+}
+
+TEST(GatewayTest, answersThatNobodyVouchesForAndThoseOfOthersAreNotPassedOn)
+{
+    this->begin("app");
+    this->one.conduct = Conduct::AnswerUnsigned;
+    this->two.conduct = Conduct::AnswerForeign;
+    for (int i = 0; i < 3; ++i)
+        LONGS_EQUAL(502, this->call("/safe/x").result.status);
+}
+
+TEST(GatewayTest, anUpstreamWithAnotherAddressIsLeftAlone)
+{
+    this->begin("app");
+    this->one.conduct = Conduct::Misaddressed;
+    for (int i = 0; i < 4; ++i)
+        LONGS_EQUAL(200, this->call("/unsafe/x", "POST").result.status);
+    UNSIGNED_LONGS_EQUAL(4, this->two.runs.size());
+}
+
+TEST(GatewayTest, aStreamThatBreaksOffGoesOnElsewhereWithoutAGap)
+{
+    this->begin("llm");
+    this->one.conduct = Conduct::BreakMidway;
+    for (int i = 0; i < 3; ++i) {
+        const Answer answer = this->call("/stream/x", "POST");
+        CHECK_TRUE(answer.result.end == Platform::CallEnd::Complete);
+        std::string expected;
+        for (int event = 1; event <= 5; ++event)
+            expected += "id: " + std::to_string(event) + "\ndata: e" + std::to_string(event) + "\n\n";
+        STRCMP_EQUAL(expected.c_str(), answer.body.c_str());
+    }
+}
+
+TEST(GatewayTest, aStreamThatCannotGoOnDoesNotLookWhole)
+{
+    this->begin("llm");
+    this->one.conduct = this->two.conduct = Conduct::BreakMidway;
+    const Answer answer = this->call("/stream/x", "POST");
+    CHECK_TRUE(answer.result.end == Platform::CallEnd::Broken);
+    CHECK_TRUE(this->runCount() <= 2);
+}
+
+TEST(GatewayTest, theUpstreamIsToldWhenTheCallerLeaves)
+{
+    this->begin("app");
+    this->one.conduct = this->two.conduct = Conduct::Silence;
+    const auto answer = std::make_shared<Answer>();
+    const Platform::CallId call = this->send("/unsafe/x", answer, "POST");
+    CHECK_TRUE(this->runUntil([this] { return this->runCount() == 1; }));
+    this->callers.cancel(call);
+    CHECK_TRUE(this->runUntil([this] { return this->one.gone + this->two.gone == 1; }, 500ms));
+}
+
+TEST(GatewayTest, aSilentUpstreamDoesNotHoldACallPastItsTime)
+{
+    this->begin("app");
+    this->one.conduct = this->two.conduct = Conduct::Silence;
+    const auto start = std::chrono::steady_clock::now();
+    LONGS_EQUAL(504, this->call("/unsafe/x", "POST").result.status);
+    const auto took = std::chrono::steady_clock::now() - start;
+    CHECK_TRUE(took > 850ms && took < 1'400ms);
+}
+
+TEST(GatewayTest, anUpstreamThatLeavesGetsNothing)
+{
+    this->begin("app");
+    this->store.put("keyed.servers", "one", this->one.entry("app", true));
+    this->runFor(800ms);
+    for (int i = 0; i < 3; ++i)
+        LONGS_EQUAL(200, this->call("/unsafe/x", "POST").result.status);
+    UNSIGNED_LONGS_EQUAL(0, this->one.runs.size());
+}
+
+TEST(GatewayTest, aNewDocumentIsInForceSoonAlsoAfterLostHistory)
+{
+    this->begin("app");
+    this->store.put("keyed.op", "config", documentOf(2, { "new" }));
+    this->store.dropHistory("keyed.op");
+    CHECK_TRUE(this->runUntil([this] { return this->call("/safe/x", "GET", "new").result.status == 200; }, 3s));
+    LONGS_EQUAL(401, this->call("/safe/x", "GET", "key").result.status);
+}
+
+TEST(GatewayTest, keysAreNotAcceptedOnOldKnowledge)
+{
+    this->begin("app");
+    this->store.setAway(true);
+    LONGS_EQUAL(200, this->call("/safe/x").result.status);
+    this->runFor(2'200ms);
+    LONGS_EQUAL(503, this->call("/safe/x").result.status);
+    CHECK_FALSE(this->core.isReady());
+    this->store.setAway(false);
+    CHECK_TRUE(this->runUntil([this] { return this->core.isReady(); }));
+    LONGS_EQUAL(200, this->call("/safe/x").result.status);
+}
+
+TEST(GatewayTest, aStoppingProcessIsNotReadyAndClosesItsConnections)
+{
+    this->begin("app");
+    bool isStopped = false;
+    this->core.shutDown([&isStopped] { isStopped = true; });
+    CHECK_FALSE(this->core.isReady());
+    const Answer answer = this->call("/safe/x");
+    LONGS_EQUAL(200, answer.result.status);
+    STRCMP_EQUAL("close", answer.header("Connection").c_str());
+    CHECK_FALSE(isStopped);
+    CHECK_TRUE(this->runUntil([&] { return isStopped; }, 4s));
+}
--- a/tests/auto/placement/tst_waitingline.cpp
+++ b/tests/auto/placement/tst_waitingline.cpp
@@ -132,8 +132,8 @@
         const PlayedPrompt& prompt = this->prompts[index];
         WaitingPrompt waiting;
         waiting.id = index;
-        waiting.demand = { prompt.promptTokens, prompt.events * 34, prompt.gap, prompt.goal,
-            weightOf(prompt.promptTokens) };
+        waiting.demand
+            = { prompt.promptTokens, prompt.events * 34, prompt.gap, prompt.goal, weightOf(prompt.promptTokens) };
         waiting.goalAt = prompt.arrived + prompt.goal;
         waiting.patienceEnd = prompt.arrived + std::max<Duration>(2s, 4 * prompt.goal);
         waiting.lateWait = 1'500ms;
@@ -317,8 +317,6 @@
         LinePlay play(prompts);
         const Served served = play.play();
         const Served naive = playLeastLoaded(prompts);
-        printf("seed %u: %d %d short %.3f (naive %.3f), long %.3f (naive %.3f), %d refused\n", seed, served.shortCount, served.longCount, served.shortShare(),
-            naive.shortShare(), served.longShare(), naive.longShare(), play.refusals);
         CHECK_TRUE(served.shortShare() >= 0.95);
         CHECK_TRUE(served.shortShare() > naive.shortShare());
         CHECK_TRUE(served.longShare() > naive.longShare());
--- /dev/null
+++ b/tests/auto/platformadapter/tst_messageheaders.cpp
@@ -0,0 +1,110 @@
+#include "platform/messageheaders.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace PlatformAdapter;
+using namespace std::chrono_literals;
+
+namespace {
+
+Web::HttpRequest requestOfTests()
+{
+    Web::HttpRequest request;
+    request.method = "POST";
+    request.headers = { { "Host", "h.example:80" }, { "X-Attempt-Id", "a1" }, { "X-Deadline-Ms", "1500" },
+        { "Authorization", "Token secret" }, { "X-Token-Usage", "1460,80" }, { "X-Tenant", "forged" },
+        { "X-Expect-Instance", "forged" }, { "X-Helpers", "10.0.0.1:1" }, { "Connection", "keep-alive, X-Private" },
+        { "X-Private", "1" }, { "Transfer-Encoding", "chunked" }, { "X-Model", "m" }, { "X-Empty", "" },
+        { "Last-Event-Id", "12" } };
+    return request;
+}
+
+bool has(const std::vector<std::string>& lines, std::string_view line)
+{
+    return std::ranges::find(lines, line) != lines.end();
+}
+
+bool hasName(const std::vector<std::string>& lines, std::string_view name)
+{
+    return std::ranges::any_of(lines, [name](const std::string& line) { return line.starts_with(name); });
+}
+
+Platform::AnswerStart answerOf(int status, std::vector<Platform::HttpField> headers)
+{
+    return { status, "", std::move(headers) };
+}
+
+} // namespace
+
+TEST_GROUP(MessageHeadersTest) {};
+
+TEST(MessageHeadersTest, readsWhatACallerSays)
+{
+    const CallerRequest request = decodeCallerRequest(requestOfTests());
+    STRCMP_EQUAL("a1", request.id.c_str());
+    STRCMP_EQUAL("h.example", request.host.c_str());
+    STRCMP_EQUAL("secret", request.key.c_str());
+    CHECK_TRUE(*request.patience == 1500ms);
+    LONGS_EQUAL(1460, request.promptTokens);
+    LONGS_EQUAL(80, request.maximumOutputTokens);
+}
+
+TEST(MessageHeadersTest, keysConnectionHeadersAndForgedHeadersStayHere)
+{
+    Forwarding forwarding;
+    forwarding.upstream = "i-1";
+    forwarding.account = "t";
+    forwarding.timeLeft = 900ms;
+    const auto lines = encodeForwarding(requestOfTests(), forwarding);
+    CHECK_FALSE(hasName(lines, "Authorization"));
+    CHECK_FALSE(hasName(lines, "Connection"));
+    CHECK_FALSE(hasName(lines, "X-Private"));
+    CHECK_FALSE(hasName(lines, "Transfer-Encoding"));
+    CHECK_FALSE(hasName(lines, "X-Helpers"));
+    CHECK_TRUE(has(lines, "X-Tenant: t"));
+    CHECK_TRUE(has(lines, "X-Expect-Instance: i-1"));
+    CHECK_TRUE(has(lines, "X-Deadline-Ms: 900"));
+    CHECK_TRUE(has(lines, "X-Model: m"));
+    CHECK_TRUE(has(lines, "X-Empty;"));
+    CHECK_TRUE(has(lines, "Last-Event-Id: 12"));
+    CHECK_TRUE(has(lines, "Host: h.example:80"));
+}
+
+TEST(MessageHeadersTest, aResumedStreamNamesTheLastEventOnce)
+{
+    Forwarding forwarding;
+    forwarding.upstream = "i-1";
+    forwarding.resumeAfter = "17";
+    forwarding.helpers = { "10.0.0.1:1", "10.0.0.2:1/t" };
+    const auto lines = encodeForwarding(requestOfTests(), forwarding);
+    CHECK_TRUE(has(lines, "Last-Event-Id: 17"));
+    CHECK_FALSE(has(lines, "Last-Event-Id: 12"));
+    CHECK_TRUE(has(lines, "X-Helpers: 10.0.0.1:1,10.0.0.2:1/t"));
+}
+
+TEST(MessageHeadersTest, anAnswerOfAnotherRequestIsToldApart)
+{
+    CHECK_TRUE(decodeAnswer(answerOf(200, { { "x-attempt-id", "a1" }, { "X-Response-Signature", "s" } }), "a1")
+                   .belongsToRequest);
+    CHECK_FALSE(decodeAnswer(answerOf(200, { { "X-Attempt-Id", "a2" } }), "a1").belongsToRequest);
+    CHECK_FALSE(decodeAnswer(answerOf(200, {}), "a1").belongsToRequest);
+}
+
+TEST(MessageHeadersTest, onlyAWordOfTheUpstreamProvesThatNothingRan)
+{
+    CHECK_TRUE(decodeAnswer(answerOf(503, { { "X-Not-Executed", "1" } }), "a").saysNotRun);
+    CHECK_TRUE(decodeAnswer(answerOf(421, {}), "a").saysNotRun);
+    CHECK_TRUE(decodeAnswer(answerOf(421, {}), "a").isMisaddressed);
+    CHECK_FALSE(decodeAnswer(answerOf(503, {}), "a").saysNotRun);
+    CHECK_FALSE(decodeAnswer(answerOf(504, { { "X-Attempt-Id", "a" } }), "a").saysNotRun);
+}
+
+TEST(MessageHeadersTest, ownAnswersTellWhenToComeBack)
+{
+    const Web::HttpReply reply = encodeOwnAnswer(503, "a1", 250ms, "NoUpstream");
+    const auto found = std::ranges::find(reply.headers, std::string("Retry-After"), &Web::HttpHeader::name);
+    STRCMP_EQUAL("0.250", found->value.c_str());
+    UNSIGNED_LONGS_EQUAL(0, encodeOwnAnswer(502, "", {}, "x").headers.size());
+}
--- a/tests/auto/relay/tst_eventsplitter.cpp
+++ b/tests/auto/relay/tst_eventsplitter.cpp
@@ -23,7 +23,8 @@
         const auto count = *rc::gen::inRange(0, 8);
         std::string text;
         for (int i = 1; i <= count; ++i)
-            text += "x-weight-versions: 3\nid: " + std::to_string(i) + "\ndata: " + std::string(static_cast<std::size_t>(i), 'd') + "\n\n";
+            text += "x-weight-versions: 3\nid: " + std::to_string(i)
+                + "\ndata: " + std::string(static_cast<std::size_t>(i), 'd') + "\n\n";
         const auto cuts = *rc::gen::container<std::vector<std::size_t>>(rc::gen::inRange<std::size_t>(1, 9));
         EventSplitter splitter;
         std::string out;
--- a/tests/auto/relay/tst_upstreamhealth.cpp
+++ b/tests/auto/relay/tst_upstreamhealth.cpp
@@ -42,7 +42,8 @@
     bool isLeftOut = false;
     for (int i = 0; i < 20 && !isLeftOut; ++i) {
         this->health.note("u", Observation::Answered, this->now);
-        isLeftOut = this->health.note("u", Observation::Failed, this->now) || this->health.note("u", Observation::Failed, this->now);
+        isLeftOut = this->health.note("u", Observation::Failed, this->now)
+            || this->health.note("u", Observation::Failed, this->now);
     }
     CHECK_TRUE(isLeftOut);
 }
--- a/tests/auto/wire/tst_codec.cpp
+++ b/tests/auto/wire/tst_codec.cpp
@@ -55,6 +55,32 @@
     LONGS_EQUAL(88, got.promptTokens);
 }
 
+TEST(Codec, keepsWhatGatewaysTellEachOther)
+{
+    PeerLoad load;
+    load.isComplete = true;
+    load.shares.push_back({ "u", 1'500, 2, 300, { { 250, { 1, 1'600 } }, { 1'000, { 2, 40'000 } } } });
+    load.shares.push_back({ "empty", 0, 0, 0, {} });
+    const PeerLoad gotLoad = roundTrip(load);
+    CHECK_TRUE(gotLoad.isComplete);
+    CHECK_TRUE(gotLoad.shares == load.shares);
+
+    KnowledgeReply reply;
+    reply.isKnown = true;
+    reply.operatorRecords.push_back({ "config", std::string("{\"v\":\x80}\0", 9), 7 });
+    reply.upstreamRecords.push_back({ "gone", std::nullopt, 0 });
+    reply.operatorEnd = 8;
+    reply.operatorAgeMs = 0;
+    reply.upstreamAgeMs = 12;
+    const KnowledgeReply gotReply = roundTrip(reply);
+    CHECK_TRUE(gotReply.isKnown);
+    CHECK_TRUE(gotReply.operatorRecords == reply.operatorRecords);
+    CHECK_TRUE(gotReply.upstreamRecords == reply.upstreamRecords);
+    LONGS_EQUAL(8, gotReply.operatorEnd);
+    LONGS_EQUAL(0, gotReply.operatorAgeMs);
+    LONGS_EQUAL(12, gotReply.upstreamAgeMs);
+}
+
 TEST(Codec, keepsLoadOutcomeAndCode)
 {
     Refused refused;
