--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -22,7 +22,9 @@
 constexpr Duration balancerDelay = std::chrono::milliseconds(2'700);
 // Requests that arrive later than this after the signal to stop might be cut by the kill.
 constexpr Duration lastArrival = std::chrono::milliseconds(2'900);
-// The time before the kill that answers need to leave the sockets.
+// The time that the last answers need to leave the sockets.
+constexpr Duration flushTime = std::chrono::milliseconds(250);
+// Answers are cut so long before the kill.
 constexpr Duration killMargin = std::chrono::milliseconds(400);
 // A request that crashed so many upstreams is not run any more. An upstream may also crash or break a connection for
 // reasons of its own, so fewer would turn bystanders away.
@@ -79,7 +81,10 @@
         [this](const Quarantine::CrashNotice& notice) {
             this->mesh.broadcast(Wire::SuspectNotice { { notice }, {} });
         },
-        [this](const RelayFlow& flow) { this->flows.erase(&flow); }, [this] { return bool(this->onStopped); },
+        [this](const RelayFlow& flow) {
+            this->flows.erase(&flow);
+            this->lastFlowEnded = this->clock.now();
+        }, [this] { return bool(this->onStopped); },
         [this] { return this->onStopped && this->clock.now() - this->stopBegan >= lastArrival; } }
     , tickTimer(context)
 {
@@ -202,7 +207,7 @@
     const Duration passed = now - this->stopBegan;
     if (passed >= this->settings.node.shutdownGrace - killMargin)
         return true;
-    return this->flows.empty() && passed >= balancerDelay;
+    return this->flows.empty() && passed >= balancerDelay && now - this->lastFlowEnded >= flushTime;
 }
 
 std::string GatewayCore::renderMetrics()
--- a/src/apps/gateway/gatewaycore.h
+++ b/src/apps/gateway/gatewaycore.h
@@ -70,6 +70,7 @@
     Foundation::Duration suspendedBefore {};
     std::function<void()> onStopped;
     Foundation::TimePoint stopBegan {};
+    Foundation::TimePoint lastFlowEnded {};
 };
 
 } // namespace Gateway
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -320,3 +320,15 @@
     CHECK_FALSE(isStopped);
     CHECK_TRUE(this->runUntil([&] { return isStopped; }, 4s));
 }
+
+TEST(GatewayTest, aStoppingProcessLetsItsLastAnswerLeave)
+{
+    this->begin("app");
+    bool isStopped = false;
+    this->core.shutDown([&isStopped] { isStopped = true; });
+    this->runFor(2'640ms);
+    LONGS_EQUAL(200, this->call("/safe/x").result.status);
+    this->runFor(150ms);
+    CHECK_FALSE(isStopped);
+    CHECK_TRUE(this->runUntil([&] { return isStopped; }, 1s));
+}
