--- a/src/apps/gateway/relayflow.cpp
+++ b/src/apps/gateway/relayflow.cpp
@@ -377,15 +377,23 @@
     }
     const auto& facts = this->attempt->facts;
     if (facts.saysNotRun) {
+        const std::string run = this->attempt->assignment.upstreamRun;
         logEvent(Event::AttemptRefused, this->request.id,
             "upstream=" + this->attempt->assignment.upstreamRun
-                + " status=" + std::to_string(this->attempt->head->status) + " at=" + facts.faultyUpstream);
+                + " status=" + std::to_string(this->attempt->head->status) + " at=" + facts.faultyAddress);
         if (facts.isMisaddressed) {
             this->context.knowledge.directory().noteMisaddressed(this->attempt->assignment.upstream);
             logEvent(
                 Event::UpstreamMisaddressed, this->request.id, "upstream=" + this->attempt->assignment.upstreamRun);
         }
+        const std::string faultyAddress = facts.faultyAddress;
+        const bool isFaultOfHelper
+            = !faultyAddress.empty() && faultyAddress != this->attempt->assignment.address && !facts.isMisaddressed;
+        if (isFaultOfHelper)
+            this->noteFaultyHelper(faultyAddress);
         this->closeAttempt(facts.isMisaddressed ? Observation::Unreachable : Observation::Answered);
+        if (isFaultOfHelper)
+            this->demand.tried.erase(run);
         this->onAttemptFailed(RunOutcome::NotRun, ResultCode::UpstreamRejected, true);
         return;
     }
@@ -601,6 +609,16 @@
 
 Duration RelayFlow::timeLeft() const { return this->deadline - this->context.clock.now(); }
 
+void RelayFlow::noteFaultyHelper(const std::string& address)
+{
+    const Membership::Upstream* const helper = this->context.knowledge.directory().findByAddress(address);
+    if (!helper)
+        return;
+    const std::string run = helper->runName();
+    if (this->context.health.note(run, Observation::Unreachable, this->context.clock.now()))
+        logEvent(Event::UpstreamLeftOut, this->request.id, "upstream=" + run + " observation=cannot help");
+}
+
 void RelayFlow::noteCrash()
 {
     const Quarantine::CrashNotice notice { this->fingerprint, this->attempt->assignment.upstreamRun };
--- a/src/apps/gateway/relayflow.h
+++ b/src/apps/gateway/relayflow.h
@@ -112,6 +112,7 @@
     Foundation::Duration timeLeft() const;
     Foundation::Duration silenceLimit() const;
     void noteCrash();
+    void noteFaultyHelper(const std::string& address);
 
     FlowContext& context;
     std::shared_ptr<Web::HttpExchange> exchange;
--- a/src/libs/membership/upstreamdirectory.cpp
+++ b/src/libs/membership/upstreamdirectory.cpp
@@ -116,6 +116,13 @@
     return found == this->upstreams.end() ? nullptr : &found->second;
 }
 
+const Upstream* UpstreamDirectory::findByAddress(std::string_view address) const
+{
+    const auto found = std::ranges::find_if(
+        this->upstreams, [address](const auto& item) { return item.second.entry.address == address; });
+    return found == this->upstreams.end() ? nullptr : &found->second;
+}
+
 void UpstreamDirectory::report(Change change, const Upstream& upstream) const
 {
     if (this->onChange)
--- a/src/libs/membership/upstreamdirectory.h
+++ b/src/libs/membership/upstreamdirectory.h
@@ -89,6 +89,9 @@
     /** @return a listed upstream; null if there is none of that id. */
     const Upstream* find(std::string_view id) const;
 
+    /** @return the listed upstream at an address; null if there is none. */
+    const Upstream* findByAddress(std::string_view address) const;
+
     std::size_t size() const { return this->upstreams.size(); }
 
 private:
--- a/tests/auto/gateway/standinupstream.cpp
+++ b/tests/auto/gateway/standinupstream.cpp
@@ -49,6 +49,12 @@
         exchange->respond({ 503, "text/plain", { { "X-Not-Executed", "1" } }, "", false });
         return;
     }
+    const std::string helper(request.header("X-Helpers").substr(0, request.header("X-Helpers").find(',')));
+    if (this->conduct == Conduct::BlameHelper && !helper.empty()) {
+        ++this->blamed;
+        exchange->respond({ 503, "text/plain", { { "X-Not-Executed", "1" }, { "At-Server", helper } }, "", false });
+        return;
+    }
     this->runs.push_back(request);
     const bool isStream = request.path.starts_with("/stream/");
     const std::string_view last = request.header("Last-Event-Id");
--- a/tests/auto/gateway/standinupstream.h
+++ b/tests/auto/gateway/standinupstream.h
@@ -25,6 +25,8 @@
     Silence,
     /** Has the address of another upstream. */
     Misaddressed,
+    /** Rejects requests that name helpers, and blames the first of them. */
+    BlameHelper,
 };
 
 /** A small upstream: runs requests, answers streams of five events, and misbehaves as it is told. */
@@ -42,6 +44,8 @@
     std::vector<Web::HttpRequest> runs;
     /** The requests that its callers closed before their answer. */
     int gone = 0;
+    /** The requests that it rejected for the fault of a helper. */
+    int blamed = 0;
 
 private:
     void handle(const std::shared_ptr<Web::HttpExchange>& exchange);
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -85,6 +85,7 @@
         [this](const std::shared_ptr<Web::HttpExchange>& exchange) { this->core.serve(exchange); } };
     Platform::HttpTransfers callers { this->context };
     int lastRequest = 0;
+    int promptTokens = 1'000;
 
     void setup() override
     {
@@ -127,7 +128,7 @@
         call.method = method;
         call.url = "http://127.0.0.1:" + std::to_string(this->gatewayPort) + path;
         call.headers = { "Host: h", "X-Attempt-Id: r" + std::to_string(++this->lastRequest), "X-Deadline-Ms: 2000",
-            "Authorization: Token " + key, "X-Token-Usage: 1000,50" };
+            "Authorization: Token " + key, "X-Token-Usage: " + std::to_string(this->promptTokens) + ",50" };
         call.body = method == "POST" ? "body" : "";
         call.connectionUse = Platform::ConnectionUse::Own;
         return this->callers.stream(std::move(call),
@@ -246,6 +247,15 @@
     }
 }
 
+TEST(GatewayTest, anEngineThatCannotHelpIsNotAskedAgainAtOnce)
+{
+    this->begin("llm");
+    this->promptTokens = 30'000;
+    this->one.conduct = this->two.conduct = Conduct::BlameHelper;
+    LONGS_EQUAL(200, this->call("/stream/x", "POST").result.status);
+    LONGS_EQUAL(1, this->one.blamed + this->two.blamed);
+}
+
 TEST(GatewayTest, aStreamThatCannotGoOnDoesNotLookWhole)
 {
     this->begin("llm");
