--- a/src/apps/gateway/relayflow.cpp
+++ b/src/apps/gateway/relayflow.cpp
@@ -36,8 +36,9 @@
 constexpr Duration usualRetryAfter = std::chrono::milliseconds(400);
 // Another process takes requests while this one leaves, so callers may come back at once.
 constexpr Duration leavingRetryAfter = std::chrono::milliseconds(30);
-// A prompt that is late waits this long, or half its goal, for a place that holds nobody up.
-constexpr Duration leastLateWait = std::chrono::milliseconds(1'500);
+// Callers wait this long in any case. A prompt that can no longer be in time waits for a place for as much of it as its
+// goal leaves; one with a longer goal is refused as soon as that is known.
+constexpr Duration usualPatience = std::chrono::seconds(2);
 constexpr Duration suspectRetryAfter = std::chrono::seconds(10);
 constexpr int firstServerError = 500;
 constexpr int firstError = 300;
@@ -181,7 +182,8 @@
         = this->hasBegun ? this->lastDelivered + this->route->gapTarget : this->arrived + this->route->goal;
     ticket.prompt.patienceEnd
         = std::min(this->deadline, this->lastDelivered + PlatformAdapter::streamPatience(*this->route));
-    ticket.prompt.lateWait = this->hasBegun ? this->timeLeft() : std::max(leastLateWait, this->route->goal / 2);
+    ticket.prompt.lateWait
+        = this->hasBegun ? this->timeLeft() : std::max(Duration::zero(), usualPatience - this->route->goal);
     ticket.prompt.priority
         = this->account && this->account->priority ? *this->account->priority : this->route->priority;
     const std::weak_ptr<RelayFlow> weak = this->weak_from_this();
