Open engines to short prompts by count and choose among them by chance; tell fewer messages between many gateways

Change: the engines that are open to short prompts follow from the streams under way; ended work is told together with added work; heartbeats slow down with the number of peers; a message is encoded once.

--- a/src/apps/gateway/dispatcher.cpp
+++ b/src/apps/gateway/dispatcher.cpp
@@ -16,6 +16,7 @@
 constexpr double coldRoom = 0.8;
 // The way to another failure domain counts like this part of a request under way, so that ties stay near.
 constexpr double farPenalty = 0.3;
+constexpr std::uint64_t chanceSteps = 1'000;
 
 } // namespace
 
@@ -169,6 +170,7 @@
         candidate.load = &this->ledger.loadOf(upstream->entry.id);
         candidate.readingLeft = this->ledger.readingLeft(upstream->entry.id);
         candidate.slots = upstream->entry.slots;
+        candidate.chance = static_cast<double>(Foundation::randomBelow(chanceSteps)) / chanceSteps;
         candidate.slowness = this->health.slowness(upstream->runName());
         const bool isCold = now < upstream->coldUntil;
         candidate.mayRun = !ticket.call.tried.contains(upstream->runName()) && this->mayStart(*upstream, now);
--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -16,6 +16,9 @@
 
 // The grain of deadlines and of held-back prompts.
 constexpr Duration tickInterval = std::chrono::milliseconds(20);
+// Work that ended is told to the peers within this time for each of them, together with what was added since. Work
+// that was added is told at once.
+constexpr Duration flushIntervalOfPeer = std::chrono::milliseconds(5);
 // The steady clock stands still while a machine is suspended, the boot clock does not.
 constexpr Duration suspensionMinimum = std::chrono::milliseconds(500);
 // The balancer asks every second and takes a process out after two misses.
@@ -77,7 +80,7 @@
     , dispatcher(this->clock, this->knowledge.directory(), this->health, this->ledger,
           settings.node.regionByFailureDomain, settings.node.failureDomain)
     , flowContext { this->clock, this->metrics, this->transfers, this->knowledge, this->dispatcher, this->ledger,
-        this->retries, this->health, this->suspects, this->memory, [this] { this->onLoadChanged(); },
+        this->retries, this->health, this->suspects, this->memory, [this](bool isAdded) { this->onLoadChanged(isAdded); },
         [this](const Quarantine::CrashNotice& notice) {
             this->mesh.broadcast(Wire::SuspectNotice { { notice }, {} });
         },
@@ -139,19 +142,21 @@
     this->dispatcher.review();
 }
 
-void GatewayCore::onLoadChanged()
+void GatewayCore::onLoadChanged(bool isAdded)
 {
-    if (std::exchange(this->isFlushScheduled, true))
+    if (std::exchange(this->isReviewScheduled, true) && !isAdded)
         return;
-    asio::post(this->context, [this] {
-        this->isFlushScheduled = false;
-        this->flushLoad();
-        this->dispatcher.review();
+    asio::post(this->context, [this, isAdded] {
+        if (isAdded)
+            this->flushLoad();
+        if (std::exchange(this->isReviewScheduled, false))
+            this->dispatcher.review();
     });
 }
 
 void GatewayCore::flushLoad()
 {
+    this->lastFlush = this->clock.now();
     std::vector<Placement::UpstreamShare> changes = this->ledger.takeChanges();
     if (!changes.empty())
         this->mesh.broadcast(Wire::PeerLoad { false, std::move(changes) });
@@ -169,6 +174,8 @@
         active.push_back(flow);
     for (const auto& flow : active)
         flow->check(now);
+    if (now - this->lastFlush >= flushIntervalOfPeer * static_cast<int>(this->mesh.memberCount()))
+        this->flushLoad();
     this->dispatcher.review();
     if (this->onStopped && this->mayStop(now)) {
         this->onStopped();
--- a/src/apps/gateway/gatewaycore.h
+++ b/src/apps/gateway/gatewaycore.h
@@ -43,7 +43,7 @@
     void tick();
     void noteSuspension();
     void onKnowledgeChanged();
-    void onLoadChanged();
+    void onLoadChanged(bool isAdded);
     void flushLoad();
     void applyBounds();
     bool mayStop(Foundation::TimePoint now) const;
@@ -66,7 +66,8 @@
     FlowContext flowContext;
     std::map<const RelayFlow*, std::shared_ptr<RelayFlow>> flows;
     asio::steady_timer tickTimer;
-    bool isFlushScheduled = false;
+    bool isReviewScheduled = false;
+    Foundation::TimePoint lastFlush {};
     Foundation::Duration suspendedBefore {};
     std::function<void()> onStopped;
     Foundation::TimePoint stopBegan {};
--- a/src/apps/gateway/peermesh.cpp
+++ b/src/apps/gateway/peermesh.cpp
@@ -11,10 +11,13 @@
 using Foundation::logEvent;
 using Foundation::TimePoint;
 
-// Peers tell everything they have under way at this interval, beside each change.
-constexpr Duration heartbeatInterval = std::chrono::milliseconds(500);
+// Peers tell everything they have under way at this interval, beside each change. With many peers the interval grows,
+// so that heartbeats cost a process no more than about forty messages a second.
+constexpr Duration leastHeartbeatInterval = std::chrono::milliseconds(500);
+constexpr Duration longestHeartbeatInterval = std::chrono::milliseconds(1'200);
+constexpr Duration heartbeatIntervalOfPeer = std::chrono::milliseconds(50);
 // A connection on which nothing came for three heartbeats is dead.
-constexpr Duration silenceLimit = std::chrono::milliseconds(1'600);
+constexpr int heartbeatsUntilSilent = 3;
 constexpr Duration firstRetryPause = std::chrono::milliseconds(300);
 constexpr Duration longestRetryPause = std::chrono::seconds(5);
 
@@ -98,12 +101,19 @@
     }
     if (now < this->nextHeartbeat)
         return;
-    this->nextHeartbeat = now + heartbeatInterval;
+    this->nextHeartbeat = now + this->heartbeatInterval();
     this->broadcast(this->handlers.wholeLoad());
 }
 
+Duration PeerMesh::heartbeatInterval() const
+{
+    return std::clamp<Duration>(heartbeatIntervalOfPeer * static_cast<int>(this->outgoing.size()),
+        leastHeartbeatInterval, longestHeartbeatInterval);
+}
+
 void PeerMesh::dropSilent(TimePoint now)
 {
+    const Duration silenceLimit = heartbeatsUntilSilent * this->heartbeatInterval();
     for (auto& [peerAddress, peer] : this->outgoing) {
         if (!peer.isOpen || now - peer.lastHeard < silenceLimit)
             continue;
@@ -130,10 +140,17 @@
 
 void PeerMesh::broadcast(const Wire::Message& message)
 {
+    this->client.broadcast(this->openConnections(), message);
+}
+
+std::vector<Wire::ConnectionId> PeerMesh::openConnections() const
+{
+    std::vector<Wire::ConnectionId> open;
     for (const auto& [peerAddress, peer] : this->outgoing) {
         if (peer.isOpen)
-            this->client.send(peer.connection, message);
+            open.push_back(peer.connection);
     }
+    return open;
 }
 
 void PeerMesh::tellNeighbours(const Wire::Message& message)
@@ -157,11 +174,7 @@
 
 bool PeerMesh::ask(const Wire::KnowledgeQuery& query)
 {
-    std::vector<Wire::ConnectionId> open;
-    for (const auto& [peerAddress, peer] : this->outgoing) {
-        if (peer.isOpen)
-            open.push_back(peer.connection);
-    }
+    const std::vector<Wire::ConnectionId> open = this->openConnections();
     if (open.empty())
         return false;
     this->client.send(open[++this->lastAsked % open.size()], query);
--- a/src/apps/gateway/peermesh.h
+++ b/src/apps/gateway/peermesh.h
@@ -99,6 +99,8 @@
     void onIncomingClosed(Wire::ConnectionId connection);
     Outgoing* findOutgoing(Wire::ConnectionId connection, std::string* address = nullptr);
     void dropSilent(Foundation::TimePoint now);
+    Foundation::Duration heartbeatInterval() const;
+    std::vector<Wire::ConnectionId> openConnections() const;
 
     const Foundation::Clock& clock;
     std::string self;
--- a/src/apps/gateway/relayflow.cpp
+++ b/src/apps/gateway/relayflow.cpp
@@ -218,7 +218,7 @@
         this->reserveMemory();
     else
         this->send({});
-    this->context.onLoadChanged();
+    this->context.onLoadChanged(true);
 }
 
 void RelayFlow::reserveMemory()
@@ -357,7 +357,7 @@
     logEvent(Event::AttemptStarted, this->request.id,
         "upstream=" + assignment.upstreamRun + " first_event_ms=" + msText(seen)
             + " expected_ms=" + msText(assignment.firstEvent));
-    this->context.onLoadChanged();
+    this->context.onLoadChanged(false);
 }
 
 void RelayFlow::onEnd(std::uint64_t number, const Platform::HttpCallResult& result)
@@ -473,7 +473,7 @@
         logEvent(Event::UpstreamLeftOut, this->request.id,
             "upstream=" + run + " observation=" + std::to_string(static_cast<int>(*observation)));
     this->demand.tried.insert(run);
-    this->context.onLoadChanged();
+    this->context.onLoadChanged(false);
 }
 
 void RelayFlow::onAttemptFailed(RunOutcome outcome, ResultCode code, bool hasArrived)
--- a/src/apps/gateway/relayflow.h
+++ b/src/apps/gateway/relayflow.h
@@ -38,8 +38,8 @@
     Relay::UpstreamHealth& health;
     Quarantine::SuspectRegister& suspects;
     MemoryKeeper<PlatformAdapter::EngineOrders>& memory;
-    /** Called after a change of the ledger or of the health of upstreams. */
-    std::function<void()> onLoadChanged;
+    /** Called after a change of the ledger or of the health of upstreams; work that was added is told at once. */
+    std::function<void(bool isAdded)> onLoadChanged;
     /** Called with a new suspicion, which the other gateways have to learn. */
     std::function<void(const Quarantine::CrashNotice&)> onSuspect;
     /** Called when a flow has ended. */
--- a/src/libs/placement/placementplanner.cpp
+++ b/src/libs/placement/placementplanner.cpp
@@ -27,9 +27,12 @@
 constexpr double repeatedHarm = 0.2;
 // Slots that short prompts fill on an engine before they go on to the next, so that bursts find room.
 constexpr double packedSlots = 0.75;
-// Costs of running a prompt among the short ones, in parts of its weight: on an engine that has room for many more, on
-// one that is packed, and beside streams of long prompts, whose like will be read there.
+// Costs of running a prompt among the short ones, in parts of its weight: on an engine that is not needed for them yet,
+// on one that is packed, and beside streams of long prompts, whose like will be read there.
 constexpr double openingCost = 0.4;
+// The part of the packed slots that is counted on when engines are opened, and the cost that chance makes up.
+constexpr double openFill = 0.8;
+constexpr double chanceCost = 0.1;
 constexpr double packedCost = 0.6;
 constexpr double besideLongCost = 0.4;
 // Reading that keeps an engine busy for longer than this keeps others from sharing it, at a cost for each second.
@@ -65,6 +68,7 @@
         this->usableMemory
             = static_cast<std::int64_t>(usableMemoryShare * static_cast<double>(model.profile().memoryTokens));
         this->divideMemory();
+        this->countOpenEngines();
         for (const EngineCandidate& candidate : candidates) {
             this->passes.push_back(toMs(model.passTime(candidate.load->requests, candidate.load->tokens)));
             this->backlogs.push_back(toMs(candidate.readingLeft) * candidate.slowness);
@@ -155,7 +159,21 @@
         return count;
     }
 
-    // The cost of running a prompt among the short ones on an engine, beyond harm and delay.
+    // Counts the engines at the front of the order that hold all short streams when each is packed.
+    void countOpenEngines()
+    {
+        if (this->candidates.empty())
+            return;
+        std::int64_t alike = 1;
+        for (std::size_t i = 0; i < this->candidates.size(); ++i)
+            alike += this->streamsWithGapUpTo(i, this->demand.gap);
+        const double each = std::max(1.0, openFill * packedSlots * this->candidates.front().slots);
+        this->openEngines = static_cast<std::size_t>(std::ceil(static_cast<double>(alike) / each)) + 1;
+    }
+
+    // The cost of running a prompt among the short ones on an engine, beyond harm and delay. The engines that are open
+    // to short prompts are the same for all processes and change slowly; among them each process chooses by chance, so
+    // that those that decide at the same moment do not all choose the same.
     double packingCost(std::size_t index) const
     {
         const EngineCandidate& candidate = this->candidates[index];
@@ -164,21 +182,22 @@
         for (const auto& [gap, group] : candidate.load->groups)
             all += group.count;
         const double packed = packedSlots * candidate.slots;
-        double cost = openingCost * std::max(0.0, 1 - static_cast<double>(alike) / packed);
+        const auto beyond = static_cast<double>(index) - static_cast<double>(this->openEngines) + 1;
+        double cost = beyond > 0 ? openingCost + beyond / static_cast<double>(this->candidates.size()) : 0;
         if (static_cast<double>(candidate.load->requests) >= packed)
             cost += packedCost;
         if (all > alike)
             cost += besideLongCost;
         if (index >= this->candidates.size() - this->candidates.size() / reservedOneIn)
             cost += reservedCost;
-        return cost * this->demand.weight;
+        return (cost + chanceCost * candidate.chance) * this->demand.weight;
     }
 
     // Orders engines for one more part; the least is the best.
     double readerCost(std::size_t index, double partMs) const
     {
         const double position = static_cast<double>(index) / static_cast<double>(this->candidates.size());
-        const double turn = this->isShortPrompt ? position : 1 - position;
+        const double turn = this->isShortPrompt ? 0 : 1 - position;
         const double firstEventMs = this->firstEventAt(index, partMs) + this->passes[index];
         return this->harmAt(index, partMs) + this->blockingAt(index, partMs) + this->delayCostOf(firstEventMs)
             + turn * 1e-3 * this->demand.weight;
@@ -305,6 +324,8 @@
     std::int64_t usableMemory = 0;
     /** Engines that hold the prompt's memory, and the part of each. */
     std::size_t holders = 1;
+    /** Engines at the front of the order that short prompts use. */
+    std::size_t openEngines = 1;
     std::int64_t heldByEach = 0;
     /** The time of a pass at each candidate without more reading, in ms. */
     std::vector<double> passes;
--- a/src/libs/placement/placementplanner.h
+++ b/src/libs/placement/placementplanner.h
@@ -22,6 +22,8 @@
     int slots = 1;
     /** How many times longer than the model says the engine takes. */
     double slowness = 1;
+    /** A number in [0, 1) drawn for this decision. */
+    double chance = 0;
     /** Whether the engine may run the request; otherwise it may only help to read. */
     bool mayRun = true;
     /** Whether the engine may help others to read. */
--- a/src/libs/wire/endpoint.cpp
+++ b/src/libs/wire/endpoint.cpp
@@ -112,6 +112,11 @@
     }
 
     void send(ConnectionId connection, std::span<const Message> messages)
+    {
+        this->sendFrame(connection, encode(messages));
+    }
+
+    void sendFrame(ConnectionId connection, const std::string& frame)
     {
         const Handle handle = this->table.find(connection);
         websocketpp::lib::error_code error;
@@ -119,7 +124,7 @@
         if (error || !found)
             return;
         // A connection that ends meanwhile reports itself through onClosed.
-        found->send(encode(messages), websocketpp::frame::opcode::binary);
+        found->send(frame, websocketpp::frame::opcode::binary);
     }
 
     void close(ConnectionId connection) { this->closeHandle(this->table.find(connection)); }
@@ -251,6 +256,13 @@
     this->state->send(connection, messages);
 }
 
+void ClientEndpoint::broadcast(std::span<const ConnectionId> connections, const Message& message)
+{
+    const std::string frame = encode(std::span(&message, 1));
+    for (const ConnectionId connection : connections)
+        this->state->sendFrame(connection, frame);
+}
+
 void ClientEndpoint::close(ConnectionId connection) { this->state->close(connection); }
 
 } // namespace Wire
--- a/src/libs/wire/endpoint.h
+++ b/src/libs/wire/endpoint.h
@@ -77,6 +77,9 @@
     void send(ConnectionId connection, std::span<const Message> messages);
     void send(ConnectionId connection, const Message& message) { this->send(connection, std::span(&message, 1)); }
 
+    /** Sends one message on many connections; it is encoded once. */
+    void broadcast(std::span<const ConnectionId> connections, const Message& message);
+
     /** Closes a connection. */
     void close(ConnectionId connection);
 
