--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -82,14 +82,16 @@
     , dispatcher(this->clock, this->knowledge.directory(), this->health, this->ledger,
           settings.node.regionByFailureDomain, settings.node.failureDomain, settings.node.name)
     , flowContext { this->clock, this->metrics, this->transfers, this->knowledge, this->dispatcher, this->ledger,
-        this->retries, this->health, this->suspects, this->memory, [this](bool isAdded) { this->onLoadChanged(isAdded); },
+        this->retries, this->health, this->suspects, this->memory,
+        [this](bool isAdded) { this->onLoadChanged(isAdded); },
         [this](const Quarantine::CrashNotice& notice) {
             this->mesh.broadcast(Wire::SuspectNotice { { notice }, {} });
         },
         [this](const RelayFlow& flow) {
             this->flows.erase(&flow);
             this->lastFlowEnded = this->clock.now();
-        }, [this] { return bool(this->onStopped); },
+        },
+        [this] { return bool(this->onStopped); },
         [this] { return this->onStopped && this->clock.now() - this->stopBegan >= lastArrival; } }
     , tickTimer(context)
 {
--- a/src/apps/gateway/gatewaysettings.cpp
+++ b/src/apps/gateway/gatewaysettings.cpp
@@ -11,22 +11,9 @@
 
 using Foundation::Error;
 using Foundation::ResultCode;
-using Foundation::Severity;
 
 constexpr const char* nodeKey = "node";
 
-Severity severityOf(Foundation::JsonObjectReader& reader)
-{
-    const std::string level = reader.text("logLevel", "info");
-    if (level == "debug")
-        return Severity::Debug;
-    if (level == "warning")
-        return Severity::Warning;
-    if (level != "info")
-        reader.fail("logLevel", "must be debug, info or warning");
-    return Severity::Info;
-}
-
 } // namespace
 
 Foundation::Result<GatewaySettings> parseGatewaySettings(std::string_view fileName, std::string_view text)
@@ -37,7 +24,7 @@
     std::vector<std::string> errors;
     Foundation::JsonObjectReader reader(located.value(), "", errors);
     GatewaySettings settings;
-    settings.logSeverity = severityOf(reader);
+    settings.logSeverity = Application::readLogSeverity(reader);
     settings.logLinesPerSecond = reader.integer("logLinesPerSecond", 1, 100'000, settings.logLinesPerSecond);
     settings.metricsPort = static_cast<std::uint16_t>(reader.integer("metricsPort", 1, 65535, settings.metricsPort));
     // The platform fills this object in and may add fields at any time, so it is not checked for unknown ones.
--- a/src/apps/gateway/peermesh.cpp
+++ b/src/apps/gateway/peermesh.cpp
@@ -138,10 +138,7 @@
     peer.connection = this->client.connect(peerAddress);
 }
 
-void PeerMesh::broadcast(const Wire::Message& message)
-{
-    this->client.broadcast(this->openConnections(), message);
-}
+void PeerMesh::broadcast(const Wire::Message& message) { this->client.broadcast(this->openConnections(), message); }
 
 std::vector<Wire::ConnectionId> PeerMesh::openConnections() const
 {
--- a/src/libs/application/processsettings.cpp
+++ b/src/libs/application/processsettings.cpp
@@ -2,11 +2,9 @@
 
 namespace Application {
 
-namespace {
-
 using Foundation::Severity;
 
-Severity readSeverity(Foundation::JsonObjectReader& reader)
+Severity readLogSeverity(Foundation::JsonObjectReader& reader)
 {
     const std::string level = reader.text("logLevel", "info");
     if (level == "debug")
@@ -18,8 +16,6 @@
     return Severity::Info;
 }
 
-} // namespace
-
 ProcessSettings readProcessSettings(Foundation::JsonObjectReader& reader)
 {
     ProcessSettings settings;
@@ -30,7 +26,7 @@
     settings.token = reader.text("token");
     settings.logUrl = reader.text("logUrl");
     settings.instanceListUrl = reader.text("instanceListUrl");
-    settings.logSeverity = readSeverity(reader);
+    settings.logSeverity = readLogSeverity(reader);
     settings.heartbeatInterval = std::chrono::milliseconds(reader.integer("heartbeatIntervalMs", 20, 60'000, 500));
     settings.connectionTimeout = std::chrono::milliseconds(reader.integer("connectionTimeoutMs", 60, 300'000, 1'500));
     if (settings.connectionTimeout < 2 * settings.heartbeatInterval)
--- a/src/libs/application/processsettings.h
+++ b/src/libs/application/processsettings.h
@@ -32,6 +32,9 @@
  */
 ProcessSettings readProcessSettings(Foundation::JsonObjectReader& reader);
 
+/** Reads the level of the log, `logLevel`. */
+Foundation::Severity readLogSeverity(Foundation::JsonObjectReader& reader);
+
 /** Joins messages to one text, one a line. */
 std::string joinLines(const std::vector<std::string>& lines);
 
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -1,3 +1,4 @@
+#include "../unusedport.h"
 #include "gatewaycore.h"
 #include "standinstore.h"
 #include "standinupstream.h"
@@ -11,13 +12,6 @@
 
 namespace {
 
-std::uint16_t unusedPort()
-{
-    asio::io_context context;
-    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
-    return acceptor.local_endpoint().port();
-}
-
 std::string documentOf(int version, const std::vector<std::string>& keys)
 {
     const nlohmann::json document = { { "version", version },
--- /dev/null
+++ b/tests/auto/placement/modeloftests.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <placement/enginemodel.h>
+
+/** @return the model of an engine like those of the users' sheets. */
+inline Placement::EngineModel modelOfTests()
+{
+    Policy::EngineProfile engine;
+    engine.slots = 16;
+    engine.memoryTokens = 405'000;
+    engine.stepMs = 1.31;
+    engine.stepMsPerRequest = 0.000917;
+    engine.stepMsPerThousandContextTokens = 0.00213;
+    engine.promptTokensPerMs = 154;
+    engine.msPerMillionPairs = 0.162;
+    engine.chunkTokens = 2048;
+    engine.stepsPerPass = 34;
+    return Placement::EngineModel(engine);
+}
--- a/tests/auto/placement/tst_placementplanner.cpp
+++ b/tests/auto/placement/tst_placementplanner.cpp
@@ -1,3 +1,5 @@
+#include "modeloftests.h"
+
 #include <placement/placementplanner.h>
 
 #include <CppUTest/TestHarness.h>
@@ -10,21 +12,6 @@
 
 namespace {
 
-EngineModel modelOfTests()
-{
-    Policy::EngineProfile engine;
-    engine.slots = 16;
-    engine.memoryTokens = 405'000;
-    engine.stepMs = 1.31;
-    engine.stepMsPerRequest = 0.000917;
-    engine.stepMsPerThousandContextTokens = 0.00213;
-    engine.promptTokensPerMs = 154;
-    engine.msPerMillionPairs = 0.162;
-    engine.chunkTokens = 2048;
-    engine.stepsPerPass = 34;
-    return EngineModel(engine);
-}
-
 PromptDemand demandOf(std::int64_t tokens, Foundation::Duration gap, Foundation::Duration goal)
 {
     return { tokens, 600, gap, goal, weightOf(tokens) };
--- a/tests/auto/placement/tst_waitingline.cpp
+++ b/tests/auto/placement/tst_waitingline.cpp
@@ -1,4 +1,5 @@
 #include "enginefleet.h"
+#include "modeloftests.h"
 
 #include <placement/loadledger.h>
 #include <placement/waitingline.h>
@@ -19,18 +20,6 @@
 // The highest factor by which a burst raises a kind's arrivals.
 constexpr double highestFactor = 2.7;
 
-EngineModel modelOfTests()
-{
-    Policy::EngineProfile engine;
-    engine.slots = 16;
-    engine.memoryTokens = 405'000;
-    engine.stepMs = 1.31;
-    engine.promptTokensPerMs = 154;
-    engine.msPerMillionPairs = 0.162;
-    engine.stepsPerPass = 34;
-    return EngineModel(engine);
-}
-
 struct Kind {
     double perSecond = 0;
     double meanTokens = 0;
--- a/tests/auto/platform/tst_httptransfers.cpp
+++ b/tests/auto/platform/tst_httptransfers.cpp
@@ -1,3 +1,5 @@
+#include "../unusedport.h"
+
 #include <platform/httptransfers.h>
 #include <web/httpserver.h>
 
@@ -15,16 +17,10 @@
 
 constexpr auto patience = std::chrono::seconds(20);
 
-std::uint16_t unusedPort(asio::io_context& context)
-{
-    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
-    return acceptor.local_endpoint().port();
-}
-
 /** A server that breaks the connection after it has taken a POST. */
 struct BreakingServer {
     asio::io_context context { 1 };
-    std::uint16_t port = unusedPort(this->context);
+    std::uint16_t port = unusedPort();
     int posts = 0;
     Web::HttpServer server { this->context, { "127.0.0.1", this->port, 1'000'000 },
         [this](const std::shared_ptr<Web::HttpExchange>& exchange) { this->answer(*exchange); } };
@@ -83,7 +79,7 @@
 TEST(HttpTransfers, aRefusedConnectionHadNoEffect)
 {
     asio::io_context context { 1 };
-    const std::uint16_t port = unusedPort(context);
+    const std::uint16_t port = unusedPort();
     HttpTransfers transfers(context);
     std::optional<CallEnd> end;
     HttpCall call;
--- a/tests/auto/platform/tst_logfollower.cpp
+++ b/tests/auto/platform/tst_logfollower.cpp
@@ -1,3 +1,5 @@
+#include "../unusedport.h"
+
 #include <platform/configurationkeeper.h>
 #include <platform/logclient.h>
 #include <platform/logfollower.h>
@@ -18,16 +20,10 @@
 
 constexpr auto patience = std::chrono::seconds(20);
 
-std::uint16_t unusedPort(asio::io_context& context)
-{
-    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
-    return acceptor.local_endpoint().port();
-}
-
 /** The log stand-in and a client of it on one thread. */
 struct LogBench {
     asio::io_context context { 1 };
-    std::uint16_t port = unusedPort(this->context);
+    std::uint16_t port = unusedPort();
     Standin::LogService service;
     Web::HttpServer server { this->context, { "127.0.0.1", this->port, 1'000'000 },
         [this](const std::shared_ptr<Web::HttpExchange>& exchange) { this->service.handle(exchange); } };
--- a/tests/auto/wire/tst_endpoint.cpp
+++ b/tests/auto/wire/tst_endpoint.cpp
@@ -1,3 +1,5 @@
+#include "../unusedport.h"
+
 #include <wire/bodysender.h>
 #include <wire/endpoint.h>
 
@@ -15,12 +17,6 @@
 
 constexpr auto patience = std::chrono::seconds(20);
 
-std::uint16_t unusedPort(asio::io_context& context)
-{
-    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
-    return acceptor.local_endpoint().port();
-}
-
 /** A server and a client endpoint on one thread, and everything that the server received, in order. */
 struct ConnectedEndpoints {
     asio::io_context context { 1 };
@@ -54,7 +50,7 @@
 
     void connect()
     {
-        const std::uint16_t port = unusedPort(this->context);
+        const std::uint16_t port = unusedPort();
         CHECK_TRUE(this->server.listen("127.0.0.1", port).has_value());
         this->connection = this->client.connect("127.0.0.1:" + std::to_string(port));
     }
@@ -123,7 +119,7 @@
 TEST(Endpoint, tellsOfAConnectionThatCannotBeMade)
 {
     ConnectedEndpoints endpoints;
-    endpoints.client.connect("127.0.0.1:" + std::to_string(unusedPort(endpoints.context)));
+    endpoints.client.connect("127.0.0.1:" + std::to_string(unusedPort()));
     endpoints.runUntil([&] { return endpoints.clientClosed == 1; });
     LONGS_EQUAL(0, endpoints.client.connect("no address at all"));
 }
