Ask callers of refused long prompts back after their goal

Ruled out: the estimate of the queue ahead (the queue was short; the engines were not free). Change: a prompt for which no place turned up within its goal is asked back after at least its goal.

--- a/src/apps/gateway/relayflow.cpp
+++ b/src/apps/gateway/relayflow.cpp
@@ -180,6 +180,7 @@
     ticket.prompt.demand.gap = this->route->gapTarget;
     ticket.prompt.goalAt
         = this->hasBegun ? this->lastDelivered + this->route->gapTarget : this->arrived + this->route->goal;
+    ticket.prompt.goal = this->route->goal;
     ticket.prompt.patienceEnd
         = std::min(this->deadline, this->lastDelivered + PlatformAdapter::streamPatience(*this->route));
     ticket.prompt.lateWait
--- a/src/libs/placement/waitingline.cpp
+++ b/src/libs/placement/waitingline.cpp
@@ -108,9 +108,10 @@
             continue;
         }
         if (prompt.demand.goalLeft + prompt.lateWait < fastest) {
-            // It is late and would hold up more than it is worth; its caller had better know now.
+            // It is late and would hold up more than it is worth; its caller had better know now. No place turned up
+            // within its goal, so it is not worth coming back much sooner.
             this->remove(prompt.id);
-            owner.refuse(prompt.id, ResultCode::DeadlineUnreachable, comeBackAfter);
+            owner.refuse(prompt.id, ResultCode::DeadlineUnreachable, std::max(comeBackAfter, prompt.goal));
             continue;
         }
         ahead += reading;
--- a/src/libs/placement/waitingline.h
+++ b/src/libs/placement/waitingline.h
@@ -22,6 +22,8 @@
     Foundation::TimePoint goalAt {};
     /** When the caller stops waiting for the first event. */
     Foundation::TimePoint patienceEnd {};
+    /** The time to the first event that the caller expects. */
+    Foundation::Duration goal {};
     /** How long the prompt may wait on after it can no longer be in time. */
     Foundation::Duration lateWait {};
     /** 0 is the most urgent. */
--- a/tests/auto/placement/tst_waitingline.cpp
+++ b/tests/auto/placement/tst_waitingline.cpp
@@ -213,6 +213,7 @@
     WaitingPrompt prompt;
     prompt.id = id;
     prompt.demand = { tokens, 600, gap, goal, weightOf(tokens) };
+    prompt.goal = goal;
     prompt.goalAt = arrived + goal;
     prompt.patienceEnd = arrived + 4 * goal;
     prompt.lateWait = 1s;
@@ -226,13 +227,17 @@
     WaitingLine line { modelOfTests() };
     std::vector<WaitingId> dispatched;
     std::vector<WaitingId> refused;
+    Duration retryAfter {};
     std::function<std::optional<PromptPlacement>(const WaitingPrompt&)> place;
 
     void review(TimePoint now, std::size_t engines = engineCount)
     {
         this->line.review(now, engines,
             { this->place, [this](WaitingId id, const PromptPlacement&) { this->dispatched.push_back(id); },
-                [this](WaitingId id, Foundation::ResultCode, Duration) { this->refused.push_back(id); } });
+                [this](WaitingId id, Foundation::ResultCode, Duration comeBackAfter) {
+                    this->refused.push_back(id);
+                    this->retryAfter = comeBackAfter;
+                } });
     }
 };
 
@@ -279,6 +284,7 @@
     this->review(now + 5s);
     UNSIGNED_LONGS_EQUAL(1, this->refused.size());
     UNSIGNED_LONGS_EQUAL(0, this->line.size());
+    CHECK_TRUE(this->retryAfter >= 3s);
 }
 
 TEST(WaitingLineTest, withoutEnginesAPromptIsRefusedAtOnce)
