Take what a neighbour tells for all only if it follows what is known

Ruled out: late reads of the store (the age was below 3 s, so the process believed itself up to date). Change: news name the offset from which on they are complete; one that knows less asks for the rest. Gateways wait for three readers before them at most.

--- a/src/apps/gateway/knowledgekeeper.cpp
+++ b/src/apps/gateway/knowledgekeeper.cpp
@@ -27,8 +27,9 @@
 // Gateways come and go rarely, and they tell each other their addresses.
 constexpr Duration peerWait = std::chrono::seconds(15);
 // One gateway of a failure domain reads for all. Another one reads if it was told nothing for so much longer than the
-// reader needs, and so much longer again for each that comes before it.
+// reader needs, and so much longer again for each of three that come before it.
 constexpr Duration rankDelay = std::chrono::milliseconds(300);
+constexpr std::size_t mostRankDelays = 3;
 // The way between two gateways, for the age of what one tells.
 constexpr Duration wayAllowance = std::chrono::milliseconds(20);
 // The pause after a failed read.
@@ -164,7 +165,8 @@
     const std::size_t rank = this->handlers.rank();
     if (!follower.isListed || rank == 0 || &follower == &this->peerFollower)
         return true;
-    return now - follower.lastKnown >= follower.wait + follower.pause + static_cast<int>(rank) * rankDelay;
+    const int turns = static_cast<int>(std::min(rank, mostRankDelays));
+    return now - follower.lastKnown >= follower.wait + follower.pause + turns * rankDelay;
 }
 
 std::int64_t KnowledgeKeeper::ageOf(const Follower& follower, TimePoint now)
@@ -245,7 +247,9 @@
     if (!news.isKnown)
         return;
     news.upstreamRecords = std::exchange(this->upstreamChanges, {});
+    news.upstreamFrom = this->upstreamEndTold;
     this->operatorEndTold = news.operatorEnd;
+    this->upstreamEndTold = news.upstreamEnd;
     this->handlers.tellNeighbours(news);
 }
 
@@ -293,6 +297,12 @@
         return;
     const std::uint64_t endBefore = this->operatorRecords.end();
     const TimePoint now = this->clock.now();
+    // A gateway that was not connected when its neighbours were told something must not take what follows for all.
+    if (reply.operatorFrom > endBefore || reply.upstreamFrom > this->upstreamRecords.end()) {
+        this->nextQuery = now + askInterval;
+        this->handlers.askPeer({ endBefore, this->upstreamRecords.end() });
+        return;
+    }
     if (reply.graceMs > 0)
         this->upstreamDirectory.noteOutage(now + std::chrono::milliseconds(reply.graceMs));
     this->operatorRecords.mergeRun(reply.operatorRecords, reply.operatorEnd);
@@ -300,6 +310,7 @@
     const std::size_t changesHere = this->upstreamChanges.size();
     this->upstreamRecords.mergeRun(reply.upstreamRecords, reply.upstreamEnd);
     this->upstreamChanges.resize(changesHere);
+    this->upstreamEndTold = this->upstreamRecords.end();
     const auto note = [now](Follower& follower, std::int64_t ageMs) {
         follower.isListed = true;
         follower.lastKnown = std::max(follower.lastKnown, now - std::chrono::milliseconds(ageMs));
@@ -324,6 +335,8 @@
         return reply;
     reply.operatorRecords = this->operatorRecords.newerThan(query.operatorEnd);
     reply.upstreamRecords = this->upstreamRecords.newerThan(query.upstreamEnd);
+    reply.operatorFrom = query.operatorEnd;
+    reply.upstreamFrom = query.upstreamEnd;
     reply.operatorEnd = this->operatorRecords.end();
     reply.upstreamEnd = this->upstreamRecords.end();
     reply.operatorAgeMs = Foundation::toMilliseconds(*known) + 1;
--- a/src/apps/gateway/knowledgekeeper.h
+++ b/src/apps/gateway/knowledgekeeper.h
@@ -133,8 +133,9 @@
     bool isRegistering = false;
     Foundation::TimePoint nextRegistration {};
     Foundation::TimePoint nextQuery {};
-    /** The end up to which the neighbours were told the operator's records. */
+    /** The ends up to which the neighbours were told what was read here, or told it themselves. */
     std::uint64_t operatorEndTold = 0;
+    std::uint64_t upstreamEndTold = 0;
     /** The entries of upstreams without what changes at each heartbeat, to tell only real changes on. */
     std::map<std::string, std::uint64_t, std::less<>> upstreamDigests;
     std::vector<Knowledge::KeyedRecord> upstreamChanges;
--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -379,6 +379,8 @@
 {
     visitor("operator", m.operatorRecords);
     visitor("upstreams", m.upstreamRecords);
+    visitor("operatorFrom", m.operatorFrom);
+    visitor("upstreamFrom", m.upstreamFrom);
     visitor("operatorEnd", m.operatorEnd);
     visitor("upstreamEnd", m.upstreamEnd);
     visitor("known", m.isKnown);
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -200,6 +200,9 @@
 struct KnowledgeReply {
     std::vector<Knowledge::KeyedRecord> operatorRecords;
     std::vector<Knowledge::KeyedRecord> upstreamRecords;
+    /** The offsets from which on the records are complete up to the ends. Who knows less has a gap between. */
+    std::uint64_t operatorFrom = 0;
+    std::uint64_t upstreamFrom = 0;
     std::uint64_t operatorEnd = 0;
     std::uint64_t upstreamEnd = 0;
     /** Whether the sender knows both topics, and the greatest ages of that, in ms. */
