Do not end an answer because its upstream is silent unless it goes on elsewhere

Cause: a silent attempt was closed before it was known whether the request could go on; without an event id to go on from, or without budget, the caller's stream was cut. Ruled out there: a deadline, an exit of the process, a stop. The test failed before the change and passes after it.

--- a/src/apps/gateway/relayflow.cpp
+++ b/src/apps/gateway/relayflow.cpp
@@ -477,20 +477,25 @@
     this->context.onLoadChanged(false);
 }
 
-void RelayFlow::onAttemptFailed(RunOutcome outcome, ResultCode code, bool hasArrived)
+Relay::RequestProgress RelayFlow::progressAfter(RunOutcome outcome) const
 {
-    this->closeAttempt(Observation::Failed);
-    if (outcome != RunOutcome::NotRun)
-        ++this->runs;
     Relay::RequestProgress progress;
     progress.outcome = outcome;
     progress.isRepeatable = this->route->isRepeatable();
     progress.hasDelivered = this->hasBegun;
     progress.canResume = !this->events.lastId().empty();
-    progress.runs = this->runs;
+    progress.runs = this->runs + (outcome == RunOutcome::NotRun ? 0 : 1);
     progress.maximumRuns = this->route->maximumRuns;
     progress.sends = this->sends;
     progress.timeLeft = this->timeLeft();
+    return progress;
+}
+
+void RelayFlow::onAttemptFailed(RunOutcome outcome, ResultCode code, bool hasArrived)
+{
+    this->closeAttempt(Observation::Failed);
+    const Relay::RequestProgress progress = this->progressAfter(outcome);
+    this->runs = progress.runs;
     NextMove move = Relay::nextMove(progress);
     const bool costs = hasArrived && move != NextMove::Fail;
     if (costs && !this->context.retries.trySpend(this->demand.service, this->context.clock.now())) {
@@ -590,14 +595,17 @@
         this->fail(mayHaveRun ? ResultCode::DeadlineExceeded : ResultCode::DeadlineUnreachable, usualRetryAfter);
         return;
     }
-    if (!this->attempt || !this->route->isRepeatable() || this->runs + 1 >= this->route->maximumRuns)
+    if (!this->attempt || now - this->attempt->lastData < this->silenceLimit())
         return;
-    if (now - this->attempt->lastData < this->silenceLimit())
+    // Silence alone is no reason to end an answer: the upstream may go on. It ends here only if it goes on elsewhere.
+    const NextMove move = Relay::nextMove(this->progressAfter(RunOutcome::MayHaveRun));
+    if (move == NextMove::Fail || !this->context.retries.trySpend(this->demand.service, now))
         return;
     logEvent(Event::AttemptFinished, this->request.id,
         "upstream=" + this->attempt->assignment.upstreamRun + " silent_ms=" + msText(now - this->attempt->lastData));
     this->closeAttempt(Observation::Broken);
-    this->onAttemptFailed(RunOutcome::MayHaveRun, ResultCode::UpstreamDown, true);
+    ++this->runs;
+    this->goOn(move, ResultCode::UpstreamDown);
 }
 
 Duration RelayFlow::silenceLimit() const
--- a/src/apps/gateway/relayflow.h
+++ b/src/apps/gateway/relayflow.h
@@ -104,6 +104,8 @@
      * @param observation what it tells of the upstream's health, if anything.
      */
     void closeAttempt(std::optional<Relay::Observation> observation);
+    /** @return what the request has done if its attempt ends with this outcome now. */
+    Relay::RequestProgress progressAfter(Foundation::RunOutcome outcome) const;
     void onAttemptFailed(Foundation::RunOutcome outcome, Foundation::ResultCode code, bool hasArrived);
     void goOn(Relay::NextMove move, Foundation::ResultCode code);
     void fail(Foundation::ResultCode code, std::optional<Foundation::Duration> retryAfter);
--- a/tests/auto/gateway/standinupstream.cpp
+++ b/tests/auto/gateway/standinupstream.cpp
@@ -22,6 +22,7 @@
     , port(port)
     , server(context, { "127.0.0.1", port, 1 << 20 },
           [this](const std::shared_ptr<Web::HttpExchange>& exchange) { this->handle(exchange); })
+    , pause(context)
 {
 }
 
@@ -73,6 +74,9 @@
         exchange->respond(
             { 200, "text/plain", { { "X-Attempt-Id", "other" }, { "X-Response-Signature", "s" } }, "foreign", false });
         break;
+    case Conduct::PauseMidway:
+        this->answerWithPause(exchange);
+        break;
     case Conduct::Silence:
         exchange->onGone([this] { ++this->gone; });
         this->silent.push_back(exchange);
@@ -100,3 +104,14 @@
     }
     exchange.finish();
 }
+
+void StandinUpstream::answerWithPause(const std::shared_ptr<Web::HttpExchange>& exchange)
+{
+    exchange->beginStream(replyTo(exchange->request(), 200, ""));
+    exchange->write(eventOf(1) + "data: without an id\n\n");
+    this->pause.expires_after(std::chrono::milliseconds(1'500));
+    this->pause.async_wait([exchange](const asio::error_code&) {
+        exchange->write(eventOf(2));
+        exchange->finish();
+    });
+}
--- a/tests/auto/gateway/standinupstream.h
+++ b/tests/auto/gateway/standinupstream.h
@@ -2,6 +2,8 @@
 
 #include <web/httpserver.h>
 
+#include <asio/steady_timer.hpp>
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -25,6 +27,8 @@
     Silence,
     /** Has the address of another upstream. */
     Misaddressed,
+    /** Sends a part of a stream from whose last event nobody can go on, pauses for long, and sends the rest. */
+    PauseMidway,
     /** Rejects requests that name helpers, and blames the first of them. */
     BlameHelper,
 };
@@ -50,10 +54,12 @@
 private:
     void handle(const std::shared_ptr<Web::HttpExchange>& exchange);
     void answerStream(Web::HttpExchange& exchange, int firstEvent);
+    void answerWithPause(const std::shared_ptr<Web::HttpExchange>& exchange);
 
     std::string id;
     std::uint16_t port;
     Web::HttpServer server;
+    asio::steady_timer pause;
     /** Requests that are never answered. */
     std::vector<std::shared_ptr<Web::HttpExchange>> silent;
 };
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -250,6 +250,16 @@
     LONGS_EQUAL(1, this->one.blamed + this->two.blamed);
 }
 
+TEST(GatewayTest, silenceDoesNotEndAStreamThatCannotGoOnElsewhere)
+{
+    this->begin("llm");
+    this->one.conduct = this->two.conduct = Conduct::PauseMidway;
+    const Answer answer = this->call("/stream/x", "POST");
+    CHECK_TRUE(answer.result.end == Platform::CallEnd::Complete);
+    STRCMP_CONTAINS("id: 2\n", answer.body.c_str());
+    UNSIGNED_LONGS_EQUAL(1, this->runCount());
+}
+
 TEST(GatewayTest, aStreamThatCannotGoOnDoesNotLookWhole)
 {
     this->begin("llm");
