--- a/src/apps/gateway/dispatcher.h
+++ b/src/apps/gateway/dispatcher.h
@@ -73,6 +73,9 @@
     /** Sets how many processes send to the same upstreams. */
     void setProcessCount(std::size_t count);
 
+    /** Forgets a run of an upstream that is over. */
+    void forget(std::string_view upstreamRun) { this->startLimiter.forget(upstreamRun); }
+
     /** @return the upstream for a request without a prompt; none if no upstream can take it. */
     std::optional<Assignment> assignCall(const CallDemand& demand);
 
--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -75,6 +75,10 @@
               [this] { this->applyBounds(); } })
     , knowledge(context, this->transfers, this->clock, this->bootClock, this->metrics, this->settings,
           { [this] { this->onKnowledgeChanged(); },
+              [this](const std::string& upstreamRun) {
+                  this->health.forget(upstreamRun);
+                  this->dispatcher.forget(upstreamRun);
+              },
               [this](const std::map<std::string, std::string>& addresses) { this->mesh.setMembers(addresses); },
               [this](const Wire::KnowledgeQuery& query) { return this->mesh.ask(query); },
               [this](const Wire::KnowledgeReply& news) { this->mesh.tellNeighbours(news); },
--- a/src/apps/gateway/knowledgekeeper.cpp
+++ b/src/apps/gateway/knowledgekeeper.cpp
@@ -99,7 +99,7 @@
     , peerRecords([this](const KeyedRecord& record) { this->onPeerRecord(record); })
     , policyCell(nullptr)
     , upstreamDirectory([this](UpstreamDirectory::Change change, const Membership::Upstream& upstream) {
-        this->logUpstream(change, upstream);
+        this->onUpstreamChange(change, upstream);
     })
 {
     this->operatorFollower.topic = PlatformAdapter::Topic::operatorRecords;
@@ -434,11 +434,13 @@
     this->handlers.onPeers(this->peerAddresses);
 }
 
-void KnowledgeKeeper::logUpstream(UpstreamDirectory::Change change, const Membership::Upstream& upstream) const
+void KnowledgeKeeper::onUpstreamChange(UpstreamDirectory::Change change, const Membership::Upstream& upstream) const
 {
     logEvent(eventOf(change), "",
         "upstream=" + upstream.runName() + " change=" + wordOf(change) + " service=" + upstream.entry.service
             + " address=" + upstream.entry.address + " domain=" + upstream.entry.failureDomain);
+    if (change == UpstreamDirectory::Change::Removed)
+        this->handlers.onUpstreamGone(upstream.runName());
 }
 
 } // namespace Gateway
--- a/src/apps/gateway/knowledgekeeper.h
+++ b/src/apps/gateway/knowledgekeeper.h
@@ -32,6 +32,8 @@
     struct Handlers {
         /** Called when routes, keys, evacuations or upstreams changed. */
         std::function<void()> onChange;
+        /** Called when a run of an upstream is over. */
+        std::function<void(const std::string& upstreamRun)> onUpstreamGone;
         /** Called with the addresses of the gateways that the store lists, by process name. */
         std::function<void(const std::map<std::string, std::string>&)> onPeers;
         /** Sends a query to some connected gateway. @return whether there is one. */
@@ -111,7 +113,7 @@
     void onPeerRecord(const Knowledge::KeyedRecord& record);
     void takePolicy(const Knowledge::KeyedRecord& record);
     void updateEvacuated();
-    void logUpstream(Membership::UpstreamDirectory::Change change, const Membership::Upstream& upstream) const;
+    void onUpstreamChange(Membership::UpstreamDirectory::Change change, const Membership::Upstream& upstream) const;
 
     const Foundation::Clock& clock;
     const Foundation::Clock& bootClock;
--- a/src/libs/placement/placementplanner.cpp
+++ b/src/libs/placement/placementplanner.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <numeric>
 
 namespace Placement {
 
@@ -27,14 +26,18 @@
 constexpr double repeatedHarm = 0.2;
 // Slots that short prompts fill on an engine before they go on to the next, so that bursts find room.
 constexpr double packedSlots = 0.75;
+// The part of the packed slots that is counted on when engines are opened to short prompts.
+constexpr double openFill = 0.8;
 // Costs of running a prompt among the short ones, in parts of its weight: on an engine that is not needed for them yet,
 // on one that is packed, and beside streams of long prompts, whose like will be read there.
 constexpr double openingCost = 0.4;
-// The part of the packed slots that is counted on when engines are opened, and the cost that chance makes up.
-constexpr double openFill = 0.8;
-constexpr double chanceCost = 0.1;
 constexpr double packedCost = 0.6;
 constexpr double besideLongCost = 0.4;
+// What chance makes up at most, so that processes that see the same engines do not all choose the same one.
+constexpr double chanceCost = 0.1;
+// What an engine whose memory is full costs a long prompt, and what the last place in the order costs.
+constexpr double fullMemoryCost = 0.1;
+constexpr double orderCost = 1e-3;
 // Reading that keeps an engine busy for longer than this keeps others from sharing it, at a cost for each second.
 constexpr double blockingMs = 600;
 constexpr double blockingCost = 2;
@@ -55,6 +58,7 @@
 
 double toMs(Duration duration) { return Foundation::toSeconds(duration) * 1e3; }
 
+// One decision: weighs each number of engines that may read the prompt.
 class Planning {
 public:
     Planning(const EngineModel& model, std::span<const EngineCandidate> candidates, const PromptDemand& demand)
@@ -201,7 +205,7 @@
         const double turn = this->isShortPrompt ? 0 : 1 - position;
         const double firstEventMs = this->firstEventAt(index, partMs) + this->passes[index];
         return this->harmAt(index, partMs) + this->blockingAt(index, partMs) + this->delayCostOf(firstEventMs)
-            + turn * 1e-3 * this->demand.weight;
+            + turn * orderCost * this->demand.weight;
     }
 
     // When an engine has read a part, counted from now; a pass that is under way ends first.
@@ -256,7 +260,8 @@
     double memoryCost(std::size_t index) const
     {
         const double memory = static_cast<double>(std::max<std::int64_t>(1, this->model.profile().memoryTokens));
-        return 0.1 * this->demand.weight * static_cast<double>(this->candidates[index].load->tokens) / memory;
+        return fullMemoryCost * this->demand.weight * static_cast<double>(this->candidates[index].load->tokens)
+            / memory;
     }
 
     // Gives the prompt's memory beyond the runner's part to the helpers with the most room.
@@ -322,12 +327,13 @@
     const PromptDemand& demand;
     const bool isShortPrompt;
     const bool isPacked;
+    /** Memory of an engine that is planned with, in tokens. */
     std::int64_t usableMemory = 0;
-    /** Engines that hold the prompt's memory, and the part of each. */
+    /** Engines that hold the prompt's memory, and the part of each, in tokens. */
     std::size_t holders = 1;
+    std::int64_t heldByEach = 0;
     /** Engines at the front of the order that short prompts use. */
     std::size_t openEngines = 1;
-    std::int64_t heldByEach = 0;
     /** The time of a pass at each candidate without more reading, in ms. */
     std::vector<double> passes;
     /** The reading that is ahead at each candidate, in ms. */
--- a/src/libs/relay/startlimiter.cpp
+++ b/src/libs/relay/startlimiter.cpp
@@ -30,4 +30,11 @@
     count.count(now);
 }
 
+void StartLimiter::forget(std::string_view upstreamRun)
+{
+    const auto found = this->sent.find(upstreamRun);
+    if (found != this->sent.end())
+        this->sent.erase(found);
+}
+
 } // namespace Relay
--- a/src/libs/relay/startlimiter.h
+++ b/src/libs/relay/startlimiter.h
@@ -29,6 +29,9 @@
     /** Counts a request that is sent. */
     void noteSent(std::string_view upstreamRun, Foundation::TimePoint now);
 
+    /** Forgets a run that is over. */
+    void forget(std::string_view upstreamRun);
+
 private:
     std::size_t processCount = 1;
     std::map<std::string, SlidingCount, std::less<>> sent;
--- a/tests/auto/gateway/tst_knowledgekeeper.cpp
+++ b/tests/auto/gateway/tst_knowledgekeeper.cpp
@@ -40,7 +40,7 @@
     std::vector<Wire::KnowledgeQuery> queries;
     KnowledgeKeeper keeper { this->context, this->transfers, this->clock, this->bootClock, this->metrics,
         settingsOfTests(),
-        { [] {}, [](const auto&) {},
+        { [] {}, [](const std::string&) {}, [](const auto&) {},
             [this](const Wire::KnowledgeQuery& query) {
                 this->queries.push_back(query);
                 return true;
--- a/tests/auto/relay/tst_startlimiter.cpp
+++ b/tests/auto/relay/tst_startlimiter.cpp
@@ -42,3 +42,11 @@
     CHECK_FALSE(limiter.allows("u/1", 1, {}));
     CHECK_TRUE(limiter.allows("u/2", 1, {}));
 }
+
+TEST(StartLimiterTest, whatIsForgottenBeginsAnew)
+{
+    StartLimiter limiter;
+    limiter.noteSent("u/1", {});
+    limiter.forget("u/1");
+    CHECK_TRUE(limiter.allows("u/1", 1, {}));
+}
--- a/tests/auto/relay/tst_upstreamhealth.cpp
+++ b/tests/auto/relay/tst_upstreamhealth.cpp
@@ -67,3 +67,10 @@
         this->health.noteDelay("u", 100ms, 50ms);
     DOUBLES_EQUAL(1, this->health.slowness("u"), 0.1);
 }
+
+TEST(UpstreamHealthTest, whatIsForgottenBeginsAnew)
+{
+    this->health.note("u", Observation::Broken, this->now);
+    this->health.forget("u");
+    CHECK_TRUE(this->health.isUsable("u", this->now));
+}
