--- a/src/apps/agent/main.cpp
+++ b/src/apps/agent/main.cpp
@@ -1,6 +1,7 @@
 #include "agentcore.h"
 
 #include <application/commandline.h>
+#include <application/settingsrun.h>
 #include <application/signalwatch.h>
 #include <foundation/logging.h>
 #include <web/httpserver.h>
@@ -67,17 +68,6 @@
 {
     Application::parseCommandLine(
         "the agent beside one upstream\nusage: bluebell-agent --settings FILE [--check]", argc, argv);
-    const auto text = Application::readFile(FLAGS_settings);
-    if (!text) {
-        std::cerr << "cannot read the settings file '" << FLAGS_settings << "'\n";
-        return static_cast<int>(ExitCode::Usage);
-    }
-    const auto settings = Agent::parseAgentSettings(FLAGS_settings, *text);
-    if (!settings) {
-        std::cerr << settings.error().message << '\n';
-        return static_cast<int>(ExitCode::SettingsInvalid);
-    }
-    if (FLAGS_check)
-        return static_cast<int>(ExitCode::Success);
-    return run(settings.value());
+    return Application::runWithSettings(FLAGS_settings, FLAGS_check, &Agent::parseAgentSettings,
+        [](const auto& settings, const std::string&) { return run(settings); });
 }
--- a/src/apps/entry/main.cpp
+++ b/src/apps/entry/main.cpp
@@ -2,6 +2,7 @@
 #include "entryserver.h"
 
 #include <application/commandline.h>
+#include <application/settingsrun.h>
 #include <application/signalwatch.h>
 #include <foundation/logging.h>
 
@@ -68,17 +69,6 @@
 {
     Application::parseCommandLine(
         "an entry towards callers\nusage: bluebell-entry --settings FILE [--check]", argc, argv);
-    const auto text = Application::readFile(FLAGS_settings);
-    if (!text) {
-        std::cerr << "cannot read the settings file '" << FLAGS_settings << "'\n";
-        return static_cast<int>(ExitCode::Usage);
-    }
-    const auto settings = Entry::parseEntrySettings(FLAGS_settings, *text);
-    if (!settings) {
-        std::cerr << settings.error().message << '\n';
-        return static_cast<int>(ExitCode::SettingsInvalid);
-    }
-    if (FLAGS_check)
-        return static_cast<int>(ExitCode::Success);
-    return run(settings.value());
+    return Application::runWithSettings(FLAGS_settings, FLAGS_check, &Entry::parseEntrySettings,
+        [](const auto& settings, const std::string&) { return run(settings); });
 }
--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -73,7 +73,7 @@
                   return Wire::SuspectNotice { this->suspects.notices(), {} };
               },
               [this] { this->applyBounds(); } })
-    , knowledge(context, this->transfers, this->clock, this->bootClock, this->metrics, this->settings,
+    , knowledge(this->transfers, this->clock, this->bootClock, this->metrics, this->settings,
           { [this] { this->onKnowledgeChanged(); },
               [this](const std::string& upstreamRun) {
                   this->health.forget(upstreamRun);
--- a/src/apps/gateway/knowledgekeeper.cpp
+++ b/src/apps/gateway/knowledgekeeper.cpp
@@ -5,8 +5,6 @@
 #include "platform/policydecoder.h"
 #include "platform/upstreamdecoder.h"
 
-#include <asio/post.hpp>
-
 namespace Gateway {
 
 namespace {
@@ -85,9 +83,9 @@
 
 } // namespace
 
-KnowledgeKeeper::KnowledgeKeeper(asio::io_context& context, Platform::HttpTransfers& transfers,
-    const Foundation::Clock& clock, const Foundation::Clock& bootClock, Foundation::MetricRegistry& metrics,
-    const GatewaySettings& settings, Handlers handlers)
+KnowledgeKeeper::KnowledgeKeeper(Platform::HttpTransfers& transfers, const Foundation::Clock& clock,
+    const Foundation::Clock& bootClock, Foundation::MetricRegistry& metrics, const GatewaySettings& settings,
+    Handlers handlers)
     : clock(clock)
     , bootClock(bootClock)
     , metrics(metrics)
--- a/src/apps/gateway/knowledgekeeper.h
+++ b/src/apps/gateway/knowledgekeeper.h
@@ -13,9 +13,6 @@
 
 #include "platform/storeclient.h"
 
-#include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
-
 #include <functional>
 #include <map>
 #include <memory>
@@ -44,7 +41,7 @@
         std::function<std::size_t()> rank;
     };
 
-    KnowledgeKeeper(asio::io_context& context, Platform::HttpTransfers& transfers, const Foundation::Clock& clock,
+    KnowledgeKeeper(Platform::HttpTransfers& transfers, const Foundation::Clock& clock,
         const Foundation::Clock& bootClock, Foundation::MetricRegistry& metrics, const GatewaySettings& settings,
         Handlers handlers);
 
--- a/src/apps/gateway/main.cpp
+++ b/src/apps/gateway/main.cpp
@@ -1,6 +1,8 @@
 #include "gatewaycore.h"
 
 #include <application/commandline.h>
+#include <application/settingsrun.h>
+#include <application/signalwatch.h>
 #include <foundation/logging.h>
 #include <web/httpserver.h>
 
@@ -89,12 +91,12 @@
 
 int run(const Gateway::GatewaySettings& settings, const std::string& text)
 {
-    std::signal(SIGPIPE, SIG_IGN);
     Foundation::startLogging(
         "bluebell-gateway", settings.node.name, { settings.logSeverity, settings.logLinesPerSecond });
     // Everything runs on this one thread: the machine gives a process a part of one core.
     asio::io_context context(1);
     Gateway::GatewayCore core(context, settings);
+    const Application::SignalWatch signalWatch(context, [&] { core.shutDown([&context] { context.stop(); }); });
     int exitCode = static_cast<int>(ExitCode::Success);
     const auto fail = [&context, &exitCode](const std::string& message) {
         std::cerr << "cannot listen: " << message << '\n';
@@ -120,11 +122,6 @@
         fail(started.error().message);
         return exitCode;
     }
-    asio::signal_set stopSignals(context, SIGTERM, SIGINT);
-    stopSignals.async_wait([&](const std::error_code& error, int) {
-        if (!error)
-            core.shutDown([&context] { context.stop(); });
-    });
     const SettingsWatch watch(context, FLAGS_settings, text, core);
     logEvent(Event::ProcessStarted, "", BLUEBELL_VERSION);
     context.run();
@@ -139,17 +136,5 @@
     Application::parseCommandLine("a gateway in front of upstreams that take requests directly\n"
                                   "usage: bluebell-gateway --settings FILE [--check]",
         argc, argv);
-    const auto text = Application::readFile(FLAGS_settings);
-    if (!text) {
-        std::cerr << "cannot read the settings file '" << FLAGS_settings << "'\n";
-        return static_cast<int>(ExitCode::Usage);
-    }
-    const auto settings = Gateway::parseGatewaySettings(FLAGS_settings, *text);
-    if (!settings) {
-        std::cerr << settings.error().message << '\n';
-        return static_cast<int>(ExitCode::SettingsInvalid);
-    }
-    if (FLAGS_check)
-        return static_cast<int>(ExitCode::Success);
-    return run(settings.value(), *text);
+    return Application::runWithSettings(FLAGS_settings, FLAGS_check, &Gateway::parseGatewaySettings, &run);
 }
--- a/src/apps/gateway/peermesh.cpp
+++ b/src/apps/gateway/peermesh.cpp
@@ -21,14 +21,6 @@
 constexpr Duration firstRetryPause = std::chrono::milliseconds(300);
 constexpr Duration longestRetryPause = std::chrono::seconds(5);
 
-Duration retryPause(int failures)
-{
-    Duration pause = firstRetryPause;
-    for (int i = 1; i < failures && pause < longestRetryPause; ++i)
-        pause *= 2;
-    return std::min(pause, longestRetryPause);
-}
-
 } // namespace
 
 PeerMesh::PeerMesh(asio::io_context& context, const Foundation::Clock& clock, std::string self, std::string address,
@@ -134,7 +126,7 @@
 
 void PeerMesh::connect(const std::string& peerAddress, Outgoing& peer)
 {
-    peer.nextTry = this->clock.now() + retryPause(++peer.failures);
+    peer.nextTry = this->clock.now() + Foundation::doublingPause(firstRetryPause, longestRetryPause, ++peer.failures);
     peer.connection = this->client.connect(peerAddress);
 }
 
--- a/src/apps/gateway/relayflow.cpp
+++ b/src/apps/gateway/relayflow.cpp
@@ -335,10 +335,7 @@
         return;
     this->noteFirstEvent();
     if (!this->hasBegun) {
-        this->hasBegun = true;
-        Web::HttpReply head = PlatformAdapter::encodeAnswerHead(*this->attempt->head);
-        head.closesConnection = this->context.isStopping();
-        this->exchange->beginStream(head);
+        this->beginStream();
         this->context.metrics.observe("bluebell_first_event_ms", "route=\"" + this->route->name + "\"",
             Foundation::toSeconds(this->context.clock.now() - this->arrived) * 1e3);
     }
@@ -346,6 +343,14 @@
     this->exchange->write(std::move(whole));
 }
 
+void RelayFlow::beginStream()
+{
+    this->hasBegun = true;
+    Web::HttpReply head = PlatformAdapter::encodeAnswerHead(*this->attempt->head);
+    head.closesConnection = this->context.isStopping();
+    this->exchange->beginStream(head);
+}
+
 void RelayFlow::noteFirstEvent()
 {
     if (!this->attempt->isReading)
@@ -418,12 +423,8 @@
 void RelayFlow::deliverStreamEnd()
 {
     const std::string rest = this->events.rest();
-    if (!this->hasBegun) {
-        this->hasBegun = true;
-        Web::HttpReply head = PlatformAdapter::encodeAnswerHead(*this->attempt->head);
-        head.closesConnection = this->context.isStopping();
-        this->exchange->beginStream(head);
-    }
+    if (!this->hasBegun)
+        this->beginStream();
     if (!rest.empty())
         this->exchange->write(rest);
     this->exchange->finish();
--- a/src/apps/gateway/relayflow.h
+++ b/src/apps/gateway/relayflow.h
@@ -94,6 +94,7 @@
     void onData(std::uint64_t number, std::string_view data);
     void onEnd(std::uint64_t number, const Platform::HttpCallResult& result);
     void onStreamData(std::string_view data);
+    void beginStream();
     void noteFirstEvent();
     void deliverStreamEnd();
     void deliverWhole();
--- a/src/libs/foundation/clock.h
+++ b/src/libs/foundation/clock.h
@@ -60,6 +60,20 @@
  */
 inline double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
+/**
+ * Gives a pause that doubles with each further failure.
+ * @param first the pause after the first failure.
+ * @param longest the longest pause.
+ * @param failures the failures in a row; at least 1.
+ */
+inline Duration doublingPause(Duration first, Duration longest, int failures)
+{
+    Duration pause = first;
+    for (int i = 1; i < failures && pause < longest; ++i)
+        pause *= 2;
+    return pause < longest ? pause : longest;
+}
+
 /**
  * Converts seconds to a duration of the monotonic clock.
  * @param seconds the number of seconds.
--- a/src/libs/membership/upstreamdirectory.cpp
+++ b/src/libs/membership/upstreamdirectory.cpp
@@ -15,6 +15,12 @@
     return Foundation::hashOf(text);
 }
 
+void Upstream::setEntry(const UpstreamEntry& newest)
+{
+    this->entry = newest;
+    this->run = newest.id + "/" + std::to_string(newest.born);
+}
+
 UpstreamDirectory::UpstreamDirectory(ChangeHandler onChange)
     : onChange(std::move(onChange))
 {
@@ -25,7 +31,7 @@
     const auto found = this->upstreams.find(entry.id);
     if (found == this->upstreams.end()) {
         Upstream& added = this->upstreams[entry.id];
-        added.entry = entry;
+        added.setEntry(entry);
         added.coldUntil = now + entry.coldLeft;
         this->report(Change::Added, added);
         return;
@@ -37,7 +43,7 @@
     const bool beginsToDrain = entry.isDraining && (isRestart || !known.entry.isDraining);
     if (isRestart || entry.address != known.entry.address)
         known.isMisaddressed = false;
-    known.entry = entry;
+    known.setEntry(entry);
     known.coldUntil = now + entry.coldLeft;
     known.missingUntil.reset();
     if (isRestart)
--- a/src/libs/membership/upstreamdirectory.h
+++ b/src/libs/membership/upstreamdirectory.h
@@ -42,7 +42,13 @@
     bool isMisaddressed = false;
 
     /** @return a name of this run that no other run shares. */
-    std::string runName() const { return this->entry.id + "/" + std::to_string(this->entry.born); }
+    const std::string& runName() const { return this->run; }
+
+    /** Takes an entry in. */
+    void setEntry(const UpstreamEntry& newest);
+
+private:
+    std::string run;
 };
 
 /** Which upstreams take requests, from a list that may lapse while its keeper is away. */
--- a/src/libs/placement/placementplanner.cpp
+++ b/src/libs/placement/placementplanner.cpp
@@ -20,8 +20,6 @@
 // Prompt tokens that are worth as much to a caller as a request of no length: what the users pay for an answer grows
 // with its prompt, from about one for five thousand tokens to a few dozen for a few hundred thousand.
 constexpr double weightTokens = 8'000;
-// An answer after its goal is worth about a quarter to its caller.
-constexpr double lateLoss = 0.75;
 // Streams on an engine that already holds them up too long are mostly late already.
 constexpr double repeatedHarm = 0.2;
 // Slots that short prompts fill on an engine before they go on to the next, so that bursts find room.
--- a/src/libs/placement/placementplanner.h
+++ b/src/libs/placement/placementplanner.h
@@ -13,6 +13,9 @@
 
 namespace Placement {
 
+/** The part of its worth that an answer loses to its caller when it comes after its goal. */
+constexpr double lateLoss = 0.75;
+
 /** An engine that may take a prompt, or a part of one to read. */
 struct EngineCandidate {
     /** What all processes have under way there; must outlive the planning. */
--- a/src/libs/placement/waitingline.cpp
+++ b/src/libs/placement/waitingline.cpp
@@ -19,9 +19,6 @@
 constexpr double harmless = 0.05;
 // Short prompts do little harm each, and have little time to wait.
 constexpr double harmOfShort = 0.5;
-// What an answer in time is worth beyond a late one, and what a late one is worth, in parts of the weight.
-constexpr double inTimeWorth = 0.75;
-constexpr double lateWorth = 0.25;
 // The least time to come back after, so that callers do not turn around at once.
 constexpr Duration leastRetryAfter = std::chrono::milliseconds(200);
 // Prompts that one review looks at; the others wait for the next.
@@ -74,7 +71,7 @@
     // Engines may become free in time for a better place.
     if (prompt.demand.goalLeft > fastest + decisionSlack)
         return Verdict::Wait;
-    return placement.harm + placement.blocking <= (isInTime ? inTimeWorth : lateWorth) * weight ? Verdict::Run
+    return placement.harm + placement.blocking <= (isInTime ? lateLoss : 1 - lateLoss) * weight ? Verdict::Run
                                                                                                 : Verdict::Wait;
 }
 
--- a/src/libs/policy/serviceprofile.h
+++ b/src/libs/policy/serviceprofile.h
@@ -19,19 +19,12 @@
     double promptTokensPerMs = 1;
     /** Time for a million pairs of a prompt token and an earlier one. */
     double msPerMillionPairs = 0;
-    /** Prompt tokens that one step reads at most. */
-    std::int64_t chunkTokens = 1;
     /** Steps of a pass in which requests write; an event of a stream follows each pass. */
     int stepsPerPass = 1;
-    double hopMs = 0;
 };
 
 struct ServiceProfile {
     std::string name;
-    /** Connections that an upstream accepts from all callers together. */
-    std::int64_t maximumConnections = 0;
-    /** How long an upstream stays cold after its start. */
-    Foundation::Duration coldDuration {};
     /** Requests a second that a cold upstream bears; 0: no limit. */
     double coldStartsPerSecond = 0;
     /** Absent for services that are no model engines. */
--- a/src/libs/relay/upstreamhealth.cpp
+++ b/src/libs/relay/upstreamhealth.cpp
@@ -16,14 +16,6 @@
 constexpr double failureShareLimit = 0.35;
 constexpr double slowestFactor = 6;
 
-Duration pauseAfter(int failuresInARow)
-{
-    Duration pause = firstPause;
-    for (int i = 1; i < failuresInARow && pause < longestPause; ++i)
-        pause *= 2;
-    return std::min(pause, longestPause);
-}
-
 } // namespace
 
 bool UpstreamHealth::note(std::string_view upstreamRun, Observation observation, Foundation::TimePoint now)
@@ -42,7 +34,7 @@
     const bool isDown = observation == Observation::Unreachable || observation == Observation::Broken;
     if (!isDown && record.failureShare <= failureShareLimit)
         return false;
-    record.leftOutUntil = now + pauseAfter(record.failuresInARow);
+    record.leftOutUntil = now + Foundation::doublingPause(firstPause, longestPause, record.failuresInARow);
     return true;
 }
 
--- a/src/libs/web/httprequest.cpp
+++ b/src/libs/web/httprequest.cpp
@@ -5,16 +5,12 @@
 
 namespace Web {
 
-namespace {
-
 bool equalsIgnoringCase(std::string_view a, std::string_view b)
 {
     const auto lower = [](unsigned char c) { return std::tolower(c); };
     return std::ranges::equal(a, b, {}, lower, lower);
 }
 
-} // namespace
-
 std::string_view HttpRequest::header(std::string_view name) const
 {
     const auto found = std::ranges::find_if(
--- a/src/libs/web/httprequest.h
+++ b/src/libs/web/httprequest.h
@@ -11,6 +11,9 @@
     std::string value;
 };
 
+/** @return whether two names of headers are the same, whatever their case. */
+bool equalsIgnoringCase(std::string_view a, std::string_view b);
+
 /** A request as it arrived. */
 struct HttpRequest {
     std::string method;
--- a/tests/auto/gateway/tst_knowledgekeeper.cpp
+++ b/tests/auto/gateway/tst_knowledgekeeper.cpp
@@ -1,6 +1,7 @@
 #include "knowledgekeeper.h"
 
 #include <CppUTest/TestHarness.h>
+#include <asio/io_context.hpp>
 
 using namespace Gateway;
 using namespace std::chrono_literals;
@@ -38,8 +39,7 @@
     Foundation::ManualClock bootClock;
     Foundation::MetricRegistry metrics;
     std::vector<Wire::KnowledgeQuery> queries;
-    KnowledgeKeeper keeper { this->context, this->transfers, this->clock, this->bootClock, this->metrics,
-        settingsOfTests(),
+    KnowledgeKeeper keeper { this->transfers, this->clock, this->bootClock, this->metrics, settingsOfTests(),
         { [] {}, [](const std::string&) {}, [](const auto&) {},
             [this](const Wire::KnowledgeQuery& query) {
                 this->queries.push_back(query);
--- a/tests/auto/placement/modeloftests.h
+++ b/tests/auto/placement/modeloftests.h
@@ -13,7 +13,6 @@
     engine.stepMsPerThousandContextTokens = 0.00213;
     engine.promptTokensPerMs = 154;
     engine.msPerMillionPairs = 0.162;
-    engine.chunkTokens = 2048;
     engine.stepsPerPass = 34;
     return Placement::EngineModel(engine);
 }
