Pass load on through a relay of each failure domain, and log which engines read a prompt

Above eight gateways each failure domain now has a relay, the largest machine first; it gathers news for some ms and passes them on to its neighbours and the other relays. One that is silent for 0.6 s is passed over. Whole loads still go directly, so nothing depends on a relay; news carry the run and a number, and older ones are dropped.

--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -16,9 +16,6 @@
 
 // The grain of deadlines and of held-back prompts.
 constexpr Duration tickInterval = std::chrono::milliseconds(20);
-// Work that ended is told to the peers within this time for each of them, together with what was added since. Work
-// that was added is told at once.
-constexpr Duration flushIntervalOfPeer = std::chrono::milliseconds(5);
 // A loop that is so late makes first events late.
 constexpr Duration noticeableDelay = std::chrono::milliseconds(100);
 // The steady clock stands still while a machine is suspended, the boot clock does not.
@@ -51,10 +48,11 @@
     , ledger(this->clock)
     , retries(retryBoundOf(settings.node))
     , suspects(this->clock, crashLimit)
-    , mesh(context, this->clock, settings.node.name, settings.node.peers.text(), settings.node.failureDomain,
-          { [this](const std::string& peer, const Wire::PeerLoad& load) {
-               this->ledger.setPeerShares(peer, load.shares, load.isComplete);
-               this->dispatcher.review();
+    , mesh(context, this->clock, { settings.node.name, settings.node.failureDomain, settings.node.processorShare },
+          settings.node.peers.text(),
+          { [this](const Wire::PeerLoad& load) {
+               this->ledger.setPeerShares(load.process, load.shares, load.isComplete);
+               this->onLoadChanged(false);
            },
               [this](const std::string& peer) {
                   this->ledger.dropPeer(peer);
@@ -66,9 +64,7 @@
                   for (const Quarantine::CrashNotice& crash : notice.crashes)
                       this->suspects.note(crash);
               },
-              [this] {
-                  return Wire::PeerLoad { true, this->ledger.ownShares() };
-              },
+              [this] { return this->ledger.ownShares(); },
               [this] {
                   return Wire::SuspectNotice { this->suspects.notices(), {} };
               },
@@ -167,7 +163,7 @@
     this->lastFlush = this->clock.now();
     std::vector<Placement::UpstreamShare> changes = this->ledger.takeChanges();
     if (!changes.empty())
-        this->mesh.broadcast(Wire::PeerLoad { false, std::move(changes) });
+        this->mesh.tellLoad(std::move(changes));
 }
 
 void GatewayCore::tick()
@@ -187,7 +183,7 @@
         active.push_back(flow);
     for (const auto& flow : active)
         flow->check(now);
-    if (now - this->lastFlush >= flushIntervalOfPeer * static_cast<int>(this->mesh.memberCount()))
+    if (now - this->lastFlush >= this->mesh.tellInterval())
         this->flushLoad();
     this->dispatcher.review();
     if (this->onStopped && this->mayStop(now)) {
--- a/src/apps/gateway/peermesh.cpp
+++ b/src/apps/gateway/peermesh.cpp
@@ -1,7 +1,10 @@
 #include "peermesh.h"
 
+#include <foundation/identifier.h>
 #include <foundation/logging.h>
 
+#include <cmath>
+
 namespace Gateway {
 
 namespace {
@@ -20,16 +23,30 @@
 constexpr int heartbeatsUntilSilent = 3;
 constexpr Duration firstRetryPause = std::chrono::milliseconds(300);
 constexpr Duration longestRetryPause = std::chrono::seconds(5);
+// Work that ended is told within this time for each process that it is told to, together with what changed meanwhile.
+constexpr Duration tellIntervalOfPeer = std::chrono::milliseconds(5);
+// The same where a relay passes it on.
+constexpr Duration tellIntervalOfRelay = std::chrono::milliseconds(40);
 
 } // namespace
 
-PeerMesh::PeerMesh(asio::io_context& context, const Foundation::Clock& clock, std::string self, std::string address,
-    std::string failureDomain, Handlers handlers)
+PeerMesh::PeerMesh(asio::io_context& context, const Foundation::Clock& clock, Membership::RelayCandidate self,
+    std::string address, Handlers handlers)
     : clock(clock)
     , self(std::move(self))
     , address(std::move(address))
-    , failureDomain(std::move(failureDomain))
+    , run(Foundation::makeIdentifier().substr(0, 8))
     , handlers(std::move(handlers))
+    , relays(this->self)
+    , spreader(clock, this->self, this->relays,
+          { [this](const std::string& process, const Wire::LoadNews& news) { this->sendTo(process, news); },
+              [this](const Wire::LoadNews& news, bool isForNeighbours) {
+                  if (isForNeighbours)
+                      this->tellNeighbours(news);
+                  else
+                      this->broadcast(news);
+              },
+              [this](const Wire::PeerLoad& load) { this->takeLoad(load); } })
     , server(context,
           { [](Wire::ConnectionId) {},
               [this](Wire::ConnectionId connection, Wire::Message message) {
@@ -54,7 +71,7 @@
 {
     for (const auto& [process, peerAddress] : addresses) {
         this->members[process] = peerAddress;
-        if (process != this->self && peerAddress != this->address)
+        if (process != this->self.process && peerAddress != this->address)
             this->outgoing.try_emplace(peerAddress);
     }
     this->handlers.onMembersChanged();
@@ -71,7 +88,7 @@
 std::size_t PeerMesh::memberCount() const
 {
     // Seeds that were never reached may be stale, so only named processes count, and this one.
-    return this->members.size() + (this->members.contains(this->self) ? 0 : 1);
+    return this->members.size() + (this->members.contains(this->self.process) ? 0 : 1);
 }
 
 void PeerMesh::reset()
@@ -80,12 +97,14 @@
         if (peer.connection != 0)
             this->client.close(peer.connection);
         peer = {};
+        this->updateCandidateAt(peerAddress);
     }
 }
 
 void PeerMesh::tick()
 {
     const TimePoint now = this->clock.now();
+    this->spreader.tick();
     this->dropSilent(now);
     for (auto& [peerAddress, peer] : this->outgoing) {
         if (peer.connection == 0 && now >= peer.nextTry)
@@ -94,7 +113,22 @@
     if (now < this->nextHeartbeat)
         return;
     this->nextHeartbeat = now + this->heartbeatInterval();
-    this->broadcast(this->handlers.wholeLoad());
+    this->broadcast(this->loadOf(true, this->handlers.wholeLoad()));
+}
+
+Wire::PeerLoad PeerMesh::loadOf(bool isComplete, std::vector<Placement::UpstreamShare> shares)
+{
+    return { this->self.process, this->run, ++this->lastNumber, isComplete, std::move(shares) };
+}
+
+void PeerMesh::tellLoad(std::vector<Placement::UpstreamShare> changes)
+{
+    this->spreader.tell(this->loadOf(false, std::move(changes)));
+}
+
+Duration PeerMesh::tellInterval() const
+{
+    return this->spreader.isDirect() ? tellIntervalOfPeer * static_cast<int>(this->memberCount()) : tellIntervalOfRelay;
 }
 
 Duration PeerMesh::heartbeatInterval() const
@@ -112,6 +146,7 @@
         this->client.close(peer.connection);
         logEvent(Event::PeerDisconnected, "", "address=" + peerAddress + " reason=silent");
         peer = {};
+        this->updateCandidateAt(peerAddress);
     }
     std::vector<Wire::ConnectionId> silent;
     for (const auto& [connection, peer] : this->incoming) {
@@ -144,21 +179,49 @@
 
 void PeerMesh::tellNeighbours(const Wire::Message& message)
 {
-    for (const auto& [peerAddress, process] : this->neighbours) {
-        const auto found = this->outgoing.find(peerAddress);
-        if (found != this->outgoing.end() && found->second.isOpen)
-            this->client.send(found->second.connection, message);
+    std::vector<Wire::ConnectionId> open;
+    for (const auto& [process, peer] : this->peers) {
+        const auto found = this->outgoing.find(peer.address);
+        if (peer.candidate.failureDomain == this->self.failureDomain && found != this->outgoing.end()
+            && found->second.isOpen)
+            open.push_back(found->second.connection);
     }
+    this->client.broadcast(open, message);
 }
 
-std::size_t PeerMesh::rank() const
+void PeerMesh::sendTo(const std::string& process, const Wire::Message& message)
 {
-    std::size_t before = 0;
-    for (const auto& [connection, peer] : this->incoming) {
-        if (peer.failureDomain == this->failureDomain && !peer.process.empty() && peer.process < this->self)
-            ++before;
+    const auto peer = this->peers.find(process);
+    if (peer == this->peers.end())
+        return;
+    const auto found = this->outgoing.find(peer->second.address);
+    if (found != this->outgoing.end() && found->second.isOpen)
+        this->client.send(found->second.connection, message);
+}
+
+void PeerMesh::updateCandidate(const Peer& peer)
+{
+    const auto found = this->outgoing.find(peer.address);
+    if (found != this->outgoing.end() && found->second.isOpen)
+        this->relays.add(peer.candidate);
+    else
+        this->relays.remove(peer.candidate.process);
+}
+
+void PeerMesh::updateCandidateAt(std::string_view peerAddress)
+{
+    for (const auto& [process, peer] : this->peers) {
+        if (peer.address == peerAddress)
+            this->updateCandidate(peer);
     }
-    return before;
+}
+
+std::size_t PeerMesh::rank() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(this->peers, [this](const auto& entry) {
+        const Membership::RelayCandidate& peer = entry.second.candidate;
+        return peer.failureDomain == this->self.failureDomain && Membership::isPreferred(peer, this->self);
+    }));
 }
 
 bool PeerMesh::ask(const Wire::KnowledgeQuery& query)
@@ -192,10 +255,12 @@
     peer->failures = 0;
     peer->lastHeard = this->clock.now();
     logEvent(Event::PeerConnected, "", "address=" + peerAddress);
-    const std::vector<Wire::Message> greeting { Wire::PeerHello { Wire::protocolVersion, this->self, this->address,
-                                                    this->failureDomain },
-        this->handlers.wholeLoad(), this->handlers.suspects() };
+    const Wire::PeerHello hello { Wire::protocolVersion, this->self.process, this->address, this->self.failureDomain,
+        this->run, std::lround(this->self.processorShare * 1e3) };
+    const std::vector<Wire::Message> greeting { hello, this->loadOf(true, this->handlers.wholeLoad()),
+        this->handlers.suspects() };
     this->client.send(connection, greeting);
+    this->updateCandidateAt(peerAddress);
 }
 
 void PeerMesh::onOutgoingMessage(Wire::ConnectionId connection, Wire::Message message)
@@ -218,6 +283,7 @@
         logEvent(Event::PeerDisconnected, "", "address=" + peerAddress + " reason=closed");
     peer->connection = 0;
     peer->isOpen = false;
+    this->updateCandidateAt(peerAddress);
 }
 
 void PeerMesh::onIncomingMessage(Wire::ConnectionId connection, Wire::Message message)
@@ -230,19 +296,16 @@
             this->server.close(connection);
             return;
         }
-        peer.process = hello->process;
-        peer.failureDomain = hello->failureDomain;
-        if (hello->failureDomain == this->failureDomain)
-            this->neighbours[hello->address] = hello->process;
-        this->setMembers({ { hello->process, hello->address } });
+        this->takeHello(peer, *hello);
         return;
     }
     if (peer.process.empty())
         return;
     if (const auto* const load = std::get_if<Wire::PeerLoad>(&message)) {
-        this->handlers.onLoad(peer.process, *load);
-        if (load->isComplete)
-            this->server.send(connection, Wire::Heartbeat {});
+        this->takeLoad(*load);
+        this->server.send(connection, Wire::Heartbeat {});
+    } else if (auto* const loads = std::get_if<Wire::LoadNews>(&message)) {
+        this->spreader.onNews(peer.process, std::move(*loads));
     } else if (const auto* const query = std::get_if<Wire::KnowledgeQuery>(&message)) {
         this->server.send(connection, this->handlers.onQuery(*query));
     } else if (const auto* const news = std::get_if<Wire::KnowledgeReply>(&message)) {
@@ -252,6 +315,29 @@
     }
 }
 
+void PeerMesh::takeHello(Incoming& connection, const Wire::PeerHello& hello)
+{
+    connection.process = hello.process;
+    Peer& peer = this->peers[hello.process];
+    if (peer.run != hello.run)
+        peer.lastNumber = 0;
+    peer.run = hello.run;
+    peer.address = hello.address;
+    peer.candidate = { hello.process, hello.failureDomain, static_cast<double>(hello.processorMillis) / 1e3 };
+    this->setMembers({ { hello.process, hello.address } });
+    this->updateCandidate(peer);
+}
+
+void PeerMesh::takeLoad(const Wire::PeerLoad& load)
+{
+    const auto peer = this->peers.find(load.process);
+    // What a relay passes on may be of a run that is over, or older than what the process told itself.
+    if (peer == this->peers.end() || peer->second.run != load.run || load.number <= peer->second.lastNumber)
+        return;
+    peer->second.lastNumber = load.number;
+    this->handlers.onLoad(load);
+}
+
 void PeerMesh::onIncomingClosed(Wire::ConnectionId connection)
 {
     const auto found = this->incoming.find(connection);
@@ -261,8 +347,11 @@
     this->incoming.erase(found);
     const bool hasAnother
         = std::ranges::any_of(this->incoming, [&](const auto& entry) { return entry.second.process == process; });
-    if (!process.empty() && !hasAnother)
-        this->handlers.onLost(process);
+    if (process.empty() || hasAnother)
+        return;
+    this->relays.remove(process);
+    this->peers.erase(process);
+    this->handlers.onLost(process);
 }
 
 } // namespace Gateway
--- a/src/apps/gateway/peermesh.h
+++ b/src/apps/gateway/peermesh.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "loadspreader.h"
+
 #include <foundation/clock.h>
 #include <foundation/metrics.h>
+#include <membership/relaychoice.h>
 #include <wire/endpoint.h>
 
 #include <asio/io_context.hpp>
@@ -15,21 +18,21 @@
 namespace Gateway {
 
 /**
- * Connections to the other gateways. Each gateway connects to every other one and tells it what it has under way; it
- * asks on the same connections for what the store holds.
+ * Connections to the other gateways. Each gateway connects to every other one and tells it at intervals all that it has
+ * under way; changes between go through relays. It asks on the same connections for what the store holds.
  */
 class PeerMesh {
 public:
     struct Handlers {
         /** Takes in what a peer has under way. */
-        std::function<void(const std::string& peer, const Wire::PeerLoad&)> onLoad;
+        std::function<void(const Wire::PeerLoad&)> onLoad;
         /** Called when a peer tells nothing any more. */
         std::function<void(const std::string& peer)> onLost;
         std::function<Wire::KnowledgeReply(const Wire::KnowledgeQuery&)> onQuery;
         std::function<void(const Wire::KnowledgeReply&)> onReply;
         std::function<void(const Wire::SuspectNotice&)> onSuspects;
         /** @return everything this process has under way. */
-        std::function<Wire::PeerLoad()> wholeLoad;
+        std::function<std::vector<Placement::UpstreamShare>()> wholeLoad;
         /** @return the suspects that this process knows. */
         std::function<Wire::SuspectNotice()> suspects;
         /** Called when the number of known gateways may have changed. */
@@ -37,12 +40,11 @@
     };
 
     /**
-     * @param self the name of this process.
+     * @param self this process.
      * @param address where it takes connections of its peers.
-     * @param failureDomain the failure domain that it stands in.
      */
-    PeerMesh(asio::io_context& context, const Foundation::Clock& clock, std::string self, std::string address,
-        std::string failureDomain, Handlers handlers);
+    PeerMesh(asio::io_context& context, const Foundation::Clock& clock, Membership::RelayCandidate self,
+        std::string address, Handlers handlers);
 
     /** Starts to listen. @return nothing, or SettingsInvalid. */
     Foundation::Result<void> listen(std::string_view ip, std::uint16_t port);
@@ -62,7 +64,13 @@
     /** Sends a message to every connected peer of this failure domain. */
     void tellNeighbours(const Wire::Message& message);
 
-    /** @return how many connected peers of this failure domain come before this process by name. */
+    /** Tells the other gateways what changed of what this process has under way. */
+    void tellLoad(std::vector<Placement::UpstreamShare> changes);
+
+    /** @return how long changes that are not urgent may wait, so that they are told together. */
+    Foundation::Duration tellInterval() const;
+
+    /** @return how many connected peers of this failure domain come before this process for work for others. */
     std::size_t rank() const;
 
     /** Asks one connected peer, another one each time. @return whether there is one. */
@@ -87,10 +95,18 @@
     /** A connection that a peer opened. */
     struct Incoming {
         std::string process;
-        std::string failureDomain;
         Foundation::TimePoint lastHeard {};
     };
 
+    /** A process that opened a connection and said who it is. */
+    struct Peer {
+        Membership::RelayCandidate candidate;
+        std::string address;
+        std::string run;
+        /** The number of its newest load that was taken in. */
+        std::uint64_t lastNumber = 0;
+    };
+
     void connect(const std::string& address, Outgoing& outgoing);
     void onOutgoingOpen(Wire::ConnectionId connection);
     void onOutgoingMessage(Wire::ConnectionId connection, Wire::Message message);
@@ -99,17 +115,26 @@
     void onIncomingClosed(Wire::ConnectionId connection);
     Outgoing* findOutgoing(Wire::ConnectionId connection, std::string* address = nullptr);
     void dropSilent(Foundation::TimePoint now);
+    void takeHello(Incoming& connection, const Wire::PeerHello& hello);
+    void takeLoad(const Wire::PeerLoad& load);
+    /** Makes a peer a candidate for a relay if it can be reached both ways, and none otherwise. */
+    void updateCandidate(const Peer& peer);
+    void updateCandidateAt(std::string_view peerAddress);
+    void sendTo(const std::string& process, const Wire::Message& message);
+    Wire::PeerLoad loadOf(bool isComplete, std::vector<Placement::UpstreamShare> shares);
     Foundation::Duration heartbeatInterval() const;
     std::vector<Wire::ConnectionId> openConnections() const;
 
     const Foundation::Clock& clock;
-    std::string self;
+    Membership::RelayCandidate self;
     std::string address;
-    std::string failureDomain;
+    std::string run;
     Handlers handlers;
+    Membership::RelayChoice relays;
+    LoadSpreader spreader;
+    std::uint64_t lastNumber = 0;
     std::map<std::string, std::string> members;
-    /** Processes of this failure domain, by address. */
-    std::map<std::string, std::string> neighbours;
+    std::map<std::string, Peer, std::less<>> peers;
     std::map<std::string, Outgoing> outgoing;
     std::map<Wire::ConnectionId, Incoming> incoming;
     Foundation::TimePoint nextHeartbeat {};
--- a/src/apps/gateway/relayflow.cpp
+++ b/src/apps/gateway/relayflow.cpp
@@ -51,6 +51,14 @@
 
 std::string msText(Duration duration) { return std::to_string(Foundation::toMilliseconds(duration)); }
 
+std::string namesOf(const std::vector<AssignedHelper>& helpers)
+{
+    std::string names;
+    for (const AssignedHelper& helper : helpers)
+        names += (names.empty() ? "" : ",") + helper.upstream;
+    return names;
+}
+
 const char* kindText(RequestKind kind)
 {
     if (kind == RequestKind::Stream)
@@ -290,7 +298,8 @@
     logEvent(Event::RequestPlaced, this->request.id,
         "upstream=" + assignment.upstreamRun + " helpers=" + std::to_string(assignment.helpers.size()) + " holders="
             + std::to_string(ticketNames.size()) + " waited_ms=" + msText(this->attempt->sent - this->arrived)
-            + " expected_ms=" + msText(assignment.firstEvent) + " send=" + std::to_string(this->sends));
+            + " expected_ms=" + msText(assignment.firstEvent) + " send=" + std::to_string(this->sends) + " read_by="
+            + namesOf(assignment.helpers));
 }
 
 void RelayFlow::onHead(std::uint64_t number, Platform::AnswerStart head)
--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -44,6 +44,7 @@
     void operator()(const char* key, Enum value) { this->object[key] = static_cast<std::uint64_t>(value); }
 
     void operator()(const char* key, const Membership::UpstreamLoad& load);
+    void operator()(const char* key, const std::vector<PeerLoad>& loads);
     void operator()(const char* key, const std::vector<std::string>& list) { this->object[key] = list; }
 
     void operator()(const char* key, const std::vector<Quarantine::CrashNotice>& crashes)
@@ -121,7 +122,10 @@
         this->readEnum(key, value, Membership::Availability::Down);
     }
 
+    void operator()(const char* key, NewsScope& value) const { this->readEnum(key, value, NewsScope::Everybody); }
+
     void operator()(const char* key, Membership::UpstreamLoad& load) const;
+    void operator()(const char* key, std::vector<PeerLoad>& loads) const;
 
     void operator()(const char* key, std::vector<Quarantine::CrashNotice>& crashes) const
     {
@@ -207,6 +211,35 @@
     visitor("v", load.prefillTokensPerSecond);
 }
 
+template <typename Visitor, typename Load> void visitPeerLoad(Visitor&& visitor, Load& load)
+{
+    visitor("process", load.process);
+    visitor("run", load.run);
+    visitor("number", load.number);
+    visitor("complete", load.isComplete);
+    visitor("shares", load.shares);
+}
+
+void FieldWriter::operator()(const char* key, const std::vector<PeerLoad>& loads)
+{
+    Json list = Json::array();
+    for (const PeerLoad& load : loads) {
+        Json nested = Json::object();
+        visitPeerLoad(FieldWriter { nested }, load);
+        list.push_back(std::move(nested));
+    }
+    this->object[key] = std::move(list);
+}
+
+void FieldReader::operator()(const char* key, std::vector<PeerLoad>& loads) const
+{
+    const Json* const found = this->find(key);
+    if (!found)
+        return;
+    for (const Json& item : *found)
+        visitPeerLoad(FieldReader { item }, loads.emplace_back());
+}
+
 void FieldWriter::operator()(const char* key, const Membership::UpstreamLoad& load)
 {
     Json nested = Json::object();
@@ -361,12 +394,16 @@
     visitor("process", m.process);
     visitor("address", m.address);
     visitor("domain", m.failureDomain);
+    visitor("run", m.run);
+    visitor("processor", m.processorMillis);
 }
 
-template <typename V> void visit(V&& visitor, MessageOf<PeerLoad> auto& m)
+template <typename V> void visit(V&& visitor, MessageOf<PeerLoad> auto& m) { visitPeerLoad(visitor, m); }
+
+template <typename V> void visit(V&& visitor, MessageOf<LoadNews> auto& m)
 {
-    visitor("complete", m.isComplete);
-    visitor("shares", m.shares);
+    visitor("scope", m.scope);
+    visitor("loads", m.loads);
 }
 
 template <typename V> void visit(V&& visitor, MessageOf<KnowledgeQuery> auto& m)
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -180,15 +180,38 @@
     /** Where the sender takes connections of other gateways. */
     std::string address;
     std::string failureDomain;
+    /** Tells one run of the process from the next. */
+    std::string run;
+    /** The cores that its machine gives the sender, in thousandths. */
+    std::int64_t processorMillis = 0;
 };
 
-/** What a gateway has under way; sent after each change, and whole at intervals. */
+/** What one gateway has under way. Later news of the same run have the higher number. */
 struct PeerLoad {
-    /** Whether the sender has nothing under way at upstreams that are not named. */
+    std::string process;
+    std::string run;
+    std::uint64_t number = 0;
+    /** Whether the process has nothing under way at upstreams that are not named. */
     bool isComplete = false;
     std::vector<Placement::UpstreamShare> shares;
 };
 
+/** For whom news of load are. */
+enum class NewsScope : std::uint8_t {
+    /** For the receiver alone. */
+    Receiver,
+    /** For the receiver and, through it, for its neighbours in its failure domain. */
+    FailureDomain,
+    /** For the receiver and, through it, for all other gateways. */
+    Everybody,
+};
+
+/** What changed of what gateways have under way; empty if a relay has nothing to tell. */
+struct LoadNews {
+    NewsScope scope = NewsScope::Receiver;
+    std::vector<PeerLoad> loads;
+};
+
 /** Asks a gateway for what it has read from the store; sent by one that the store does not serve. */
 struct KnowledgeQuery {
     /** The ends up to which the sender knows the topics of the operator and of the upstreams. */
@@ -215,6 +238,6 @@
 
 using Message = std::variant<Hello, Welcome, Heartbeat, LoadReport, ConfigurationRequest, ConfigurationDifference,
     SuspectNotice, Offer, Granted, BodyChunk, BodyAcknowledgement, Refused, AnswerHead, AnswerChunk, AnswerEnd, Cancel,
-    Revoke, RevokeResult, Resume, Goodbye, PeerHello, PeerLoad, KnowledgeQuery, KnowledgeReply>;
+    Revoke, RevokeResult, Resume, Goodbye, PeerHello, PeerLoad, KnowledgeQuery, KnowledgeReply, LoadNews>;
 
 } // namespace Wire
--- /dev/null
+++ b/tests/auto/membership/tst_relaychoice.cpp
@@ -0,0 +1,72 @@
+#include <membership/relaychoice.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+#include <vector>
+
+using namespace Membership;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Foundation::TimePoint start { 100s };
+
+} // namespace
+
+TEST_GROUP(RelayChoiceTest)
+{
+    RelayChoice choice { { "a-3", "a", 0.1 } };
+
+    void setup() override
+    {
+        this->choice.add({ "a-1", "a", 0.1 });
+        this->choice.add({ "a-2", "a", 0.5 });
+        this->choice.add({ "b-1", "b", 0.1 });
+    }
+
+    // Asks at short intervals, as the processes do, while some of them are heard.
+    std::string relayAfter(Foundation::Duration time, std::vector<std::string> heard)
+    {
+        std::string relay;
+        for (Foundation::Duration passed {}; passed <= time; passed += 20ms) {
+            this->now += 20ms;
+            for (const std::string& process : heard)
+                this->choice.noteHeard(process, this->now);
+            relay = this->choice.relayOf("a", this->now);
+        }
+        return relay;
+    }
+
+    Foundation::TimePoint now = start;
+};
+
+TEST(RelayChoiceTest, takesTheLargestMachineThenTheFirstName)
+{
+    STRCMP_EQUAL("a-2", this->choice.relayOf("a", start).c_str());
+    this->choice.remove("a-2");
+    STRCMP_EQUAL("a-1", this->choice.relayOf("a", start).c_str());
+    STRCMP_EQUAL("b-1", this->choice.relayOf("b", start).c_str());
+    STRCMP_EQUAL("", this->choice.relayOf("c", start).c_str());
+}
+
+TEST(RelayChoiceTest, passesOverOneThatIsSilentAndTriesItAgainLater)
+{
+    STRCMP_EQUAL("a-2", this->relayAfter(5s, { "a-2" }).c_str());
+    STRCMP_EQUAL("a-1", this->relayAfter(800ms, { "a-1" }).c_str());
+    STRCMP_EQUAL("a-2", this->relayAfter(3s, { "a-1", "a-2" }).c_str());
+}
+
+TEST(RelayChoiceTest, doesTheWorkItselfIfAllOthersAreSilent)
+{
+    STRCMP_EQUAL("a-3", this->relayAfter(1'500ms, {}).c_str());
+}
+
+TEST(RelayChoiceTest, doesNotTakeOneForSilentThatWasNotAskedFor)
+{
+    STRCMP_EQUAL("b-1", this->choice.relayOf("b", start).c_str());
+    STRCMP_EQUAL("b-1", this->choice.relayOf("b", start + 10s).c_str());
+    CHECK_TRUE(this->choice.domains().contains("b"));
+    this->choice.remove("b-1");
+    CHECK_FALSE(this->choice.domains().contains("b"));
+}
--- a/tests/auto/wire/tst_codec.cpp
+++ b/tests/auto/wire/tst_codec.cpp
@@ -65,6 +65,21 @@
     CHECK_TRUE(gotLoad.isComplete);
     CHECK_TRUE(gotLoad.shares == load.shares);
 
+    LoadNews news;
+    news.scope = NewsScope::FailureDomain;
+    load.process = "gateway-1";
+    load.run = "r";
+    load.number = 17;
+    news.loads = { load, {} };
+    const LoadNews gotNews = roundTrip(news);
+    CHECK_TRUE(gotNews.scope == NewsScope::FailureDomain);
+    LONGS_EQUAL(2, gotNews.loads.size());
+    STRCMP_EQUAL("gateway-1", gotNews.loads[0].process.c_str());
+    STRCMP_EQUAL("r", gotNews.loads[0].run.c_str());
+    LONGS_EQUAL(17, gotNews.loads[0].number);
+    CHECK_TRUE(gotNews.loads[0].shares == load.shares);
+    CHECK_TRUE(gotNews.loads[1].shares.empty());
+
     KnowledgeReply reply;
     reply.isKnown = true;
     reply.operatorRecords.push_back({ "config", std::string("{\"v\":\x80}\0", 9), 7 });
