Tell the other gateways of engines that cannot be reached or cannot help

Ruled out: telling of broken connections too, since resets of one gateway's connections would empty the whole fleet.

--- a/src/apps/gateway/dispatcher.cpp
+++ b/src/apps/gateway/dispatcher.cpp
@@ -193,7 +193,7 @@
         const bool isCold = now < upstream->coldUntil;
         candidate.mayRun = !ticket.call.tried.contains(upstream->runName()) && this->mayStart(*upstream, now);
         // Whether parts count against the start-up bound is not known, so cold engines help nobody.
-        candidate.mayHelp = !isCold && !upstream->missingUntil;
+        candidate.mayHelp = !isCold && !upstream->missingUntil && this->health.mayHelp(upstream->runName(), now);
         candidates.push_back(candidate);
     }
     return Placement::placePrompt(this->lines.find(ticket.call.service)->second.model(), candidates, prompt.demand);
--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -16,6 +16,9 @@
 
 // The grain of deadlines and of held-back prompts.
 constexpr Duration tickInterval = std::chrono::milliseconds(20);
+// Failed upstreams are told to the others no more often than this. When many fail at once, the gateways find different
+// ones first; a gateway that is cut off from all must not keep the others away from many.
+constexpr Duration noticeInterval = std::chrono::milliseconds(300);
 // A loop that is so late makes first events late.
 constexpr Duration noticeableDelay = std::chrono::milliseconds(100);
 // The steady clock stands still while a machine is suspended, the boot clock does not.
@@ -64,6 +67,13 @@
                   for (const Quarantine::CrashNotice& crash : notice.crashes)
                       this->suspects.note(crash);
               },
+              [this](const Wire::UpstreamNotice& notice) {
+                  this->health.noteHearsay(
+                      notice.run, std::chrono::milliseconds(notice.pauseMs), notice.isHelpOnly, this->clock.now());
+                  logEvent(Event::UpstreamLeftOut, "",
+                      "upstream=" + notice.run + " observation=told pause_ms=" + std::to_string(notice.pauseMs)
+                          + " help_only=" + std::to_string(int(notice.isHelpOnly)));
+              },
               [this] { return this->ledger.ownShares(); },
               [this] {
                   return Wire::SuspectNotice { this->suspects.notices(), {} };
@@ -87,6 +97,7 @@
         [this](const Quarantine::CrashNotice& notice) {
             this->mesh.broadcast(Wire::SuspectNotice { { notice }, {} });
         },
+        [this](const Wire::UpstreamNotice& notice) { this->tellUpstreamFailed(notice); },
         [this](const RelayFlow& flow) {
             this->flows.erase(&flow);
             this->lastFlowEnded = this->clock.now();
@@ -166,6 +177,15 @@
         this->mesh.tellLoad(std::move(changes));
 }
 
+void GatewayCore::tellUpstreamFailed(const Wire::UpstreamNotice& notice)
+{
+    const TimePoint now = this->clock.now();
+    if (now < this->nextNotice)
+        return;
+    this->nextNotice = now + noticeInterval;
+    this->mesh.broadcast(notice);
+}
+
 void GatewayCore::tick()
 {
     this->noteSuspension();
--- a/src/apps/gateway/gatewaycore.h
+++ b/src/apps/gateway/gatewaycore.h
@@ -45,6 +45,7 @@
     void onKnowledgeChanged();
     void onLoadChanged(bool isAdded);
     void flushLoad();
+    void tellUpstreamFailed(const Wire::UpstreamNotice& notice);
     void applyBounds();
     bool mayStop(Foundation::TimePoint now) const;
 
@@ -69,6 +70,7 @@
     Foundation::TimePoint nextTick {};
     bool isReviewScheduled = false;
     Foundation::TimePoint lastFlush {};
+    Foundation::TimePoint nextNotice {};
     Foundation::Duration suspendedBefore {};
     std::function<void()> onStopped;
     Foundation::TimePoint stopBegan {};
--- a/src/apps/gateway/peermesh.cpp
+++ b/src/apps/gateway/peermesh.cpp
@@ -312,6 +312,8 @@
         this->handlers.onReply(*news);
     } else if (const auto* const suspects = std::get_if<Wire::SuspectNotice>(&message)) {
         this->handlers.onSuspects(*suspects);
+    } else if (const auto* const notice = std::get_if<Wire::UpstreamNotice>(&message)) {
+        this->handlers.onUpstreamNotice(*notice);
     }
 }
 
--- a/src/apps/gateway/peermesh.h
+++ b/src/apps/gateway/peermesh.h
@@ -31,6 +31,7 @@
         std::function<Wire::KnowledgeReply(const Wire::KnowledgeQuery&)> onQuery;
         std::function<void(const Wire::KnowledgeReply&)> onReply;
         std::function<void(const Wire::SuspectNotice&)> onSuspects;
+        std::function<void(const Wire::UpstreamNotice&)> onUpstreamNotice;
         /** @return everything this process has under way. */
         std::function<std::vector<Placement::UpstreamShare>()> wholeLoad;
         /** @return the suspects that this process knows. */
--- a/src/apps/gateway/relayflow.cpp
+++ b/src/apps/gateway/relayflow.cpp
@@ -480,9 +480,15 @@
         this->context.memory.release(closed.memory);
     this->context.ledger.end(closed.assignment.job);
     const std::string& run = closed.assignment.upstreamRun;
-    if (observation && this->context.health.note(run, *observation, this->context.clock.now()))
+    const TimePoint now = this->context.clock.now();
+    if (observation && this->context.health.note(run, *observation, now)) {
         logEvent(Event::UpstreamLeftOut, this->request.id,
             "upstream=" + run + " observation=" + std::to_string(static_cast<int>(*observation)));
+        // A connection may break for reasons of its own; that there is none is worth telling.
+        if (*observation == Observation::Unreachable)
+            this->context.onUpstreamFailed(
+                { run, Foundation::toMilliseconds(this->context.health.pauseLeft(run, now)), false });
+    }
     this->demand.tried.insert(run);
     this->context.onLoadChanged(false);
 }
@@ -639,8 +645,11 @@
     if (!helper)
         return;
     const std::string run = helper->runName();
-    if (this->context.health.note(run, Observation::Unreachable, this->context.clock.now()))
-        logEvent(Event::UpstreamLeftOut, this->request.id, "upstream=" + run + " observation=cannot help");
+    const TimePoint now = this->context.clock.now();
+    this->context.health.note(run, Observation::Unreachable, now);
+    const Duration pause = this->context.health.noteCannotHelp(run, now);
+    logEvent(Event::UpstreamLeftOut, this->request.id, "upstream=" + run + " observation=cannot help");
+    this->context.onUpstreamFailed({ run, Foundation::toMilliseconds(pause), true });
 }
 
 void RelayFlow::noteCrash()
--- a/src/apps/gateway/relayflow.h
+++ b/src/apps/gateway/relayflow.h
@@ -42,6 +42,8 @@
     std::function<void(bool isAdded)> onLoadChanged;
     /** Called with a new suspicion, which the other gateways have to learn. */
     std::function<void(const Quarantine::CrashNotice&)> onSuspect;
+    /** Called with what an upstream did that the other gateways had better know. */
+    std::function<void(const Wire::UpstreamNotice&)> onUpstreamFailed;
     /** Called when a flow has ended. */
     std::function<void(const RelayFlow&)> onEnded;
     /** @return whether the process is about to stop, so that callers have to use another one from now on. */
--- a/src/libs/relay/upstreamhealth.cpp
+++ b/src/libs/relay/upstreamhealth.cpp
@@ -15,6 +15,11 @@
 // An upstream that fails more than this part of its requests is left out, though some succeed.
 constexpr double failureShareLimit = 0.35;
 constexpr double slowestFactor = 6;
+// An engine that drains or is gone does not help again in the time that a draining one stays, about two to three
+// seconds; one that helps too many others is free again by then.
+constexpr Duration cannotHelpPause = std::chrono::seconds(3);
+// A process that is cut off finds sound upstreams unreachable, so it is believed for no longer than this.
+constexpr Duration longestHearsay = std::chrono::milliseconds(1'500);
 
 } // namespace
 
@@ -47,6 +52,35 @@
     record.slowness += newestWeight * (factor - record.slowness);
 }
 
+Duration UpstreamHealth::noteCannotHelp(std::string_view upstreamRun, Foundation::TimePoint now)
+{
+    this->records[std::string(upstreamRun)].cannotHelpUntil = now + cannotHelpPause;
+    return cannotHelpPause;
+}
+
+void UpstreamHealth::noteHearsay(
+    std::string_view upstreamRun, Duration pause, bool isHelpOnly, Foundation::TimePoint now)
+{
+    Record& record = this->records[std::string(upstreamRun)];
+    if (isHelpOnly)
+        record.cannotHelpUntil = std::max(record.cannotHelpUntil, now + std::min(pause, cannotHelpPause));
+    else
+        record.leftOutUntil = std::max(record.leftOutUntil, now + std::min(pause, longestHearsay));
+}
+
+bool UpstreamHealth::mayHelp(std::string_view upstreamRun, Foundation::TimePoint now) const
+{
+    const auto found = this->records.find(upstreamRun);
+    return found == this->records.end() || now >= found->second.cannotHelpUntil;
+}
+
+Duration UpstreamHealth::pauseLeft(std::string_view upstreamRun, Foundation::TimePoint now) const
+{
+    const auto found = this->records.find(upstreamRun);
+    return found == this->records.end() ? Duration::zero()
+                                        : std::max(Duration::zero(), found->second.leftOutUntil - now);
+}
+
 bool UpstreamHealth::isUsable(std::string_view upstreamRun, Foundation::TimePoint now) const
 {
     const auto found = this->records.find(upstreamRun);
--- a/src/libs/relay/upstreamhealth.h
+++ b/src/libs/relay/upstreamhealth.h
@@ -31,6 +31,23 @@
     /** Notes how long an answer took beside what was expected. */
     void noteDelay(std::string_view upstreamRun, Foundation::Duration expected, Foundation::Duration seen);
 
+    /** Notes that an upstream refused to read for another one. @return how long it is not asked again. */
+    Foundation::Duration noteCannotHelp(std::string_view upstreamRun, Foundation::TimePoint now);
+
+    /**
+     * Takes in what another process met at an upstream.
+     * @param pause how long the other process leaves it out; only a part of that is believed.
+     * @param isHelpOnly whether the upstream only refuses to read for others.
+     */
+    void noteHearsay(
+        std::string_view upstreamRun, Foundation::Duration pause, bool isHelpOnly, Foundation::TimePoint now);
+
+    /** @return whether the upstream may be asked to read for others. */
+    bool mayHelp(std::string_view upstreamRun, Foundation::TimePoint now) const;
+
+    /** @return how much longer the upstream is left out; 0 if it is not. */
+    Foundation::Duration pauseLeft(std::string_view upstreamRun, Foundation::TimePoint now) const;
+
     /** @return whether the upstream may be used. */
     bool isUsable(std::string_view upstreamRun, Foundation::TimePoint now) const;
 
@@ -47,6 +64,7 @@
         double failureShare = 0;
         double slowness = 1;
         Foundation::TimePoint leftOutUntil {};
+        Foundation::TimePoint cannotHelpUntil {};
     };
 
     std::map<std::string, Record, std::less<>> records;
--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -401,6 +401,13 @@
 
 template <typename V> void visit(V&& visitor, MessageOf<PeerLoad> auto& m) { visitPeerLoad(visitor, m); }
 
+template <typename V> void visit(V&& visitor, MessageOf<UpstreamNotice> auto& m)
+{
+    visitor("run", m.run);
+    visitor("pause", m.pauseMs);
+    visitor("help", m.isHelpOnly);
+}
+
 template <typename V> void visit(V&& visitor, MessageOf<LoadNews> auto& m)
 {
     visitor("scope", m.scope);
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -75,6 +75,16 @@
     std::vector<std::string> cleared;
 };
 
+/** Tells that an upstream failed at the sender, so that others need not find out for themselves. */
+struct UpstreamNotice {
+    /** The run of the upstream. */
+    std::string run;
+    /** How long it should be left out, in ms. */
+    std::int64_t pauseMs = 0;
+    /** Whether it only refuses to read parts for other engines. */
+    bool isHelpOnly = false;
+};
+
 /** Offers a request. A body of one chunk comes with it, a longer one after Granted. */
 struct Offer {
     std::string attempt;
@@ -236,8 +246,9 @@
     std::int64_t graceMs = 0;
 };
 
-using Message = std::variant<Hello, Welcome, Heartbeat, LoadReport, ConfigurationRequest, ConfigurationDifference,
-    SuspectNotice, Offer, Granted, BodyChunk, BodyAcknowledgement, Refused, AnswerHead, AnswerChunk, AnswerEnd, Cancel,
-    Revoke, RevokeResult, Resume, Goodbye, PeerHello, PeerLoad, KnowledgeQuery, KnowledgeReply, LoadNews>;
+using Message
+    = std::variant<Hello, Welcome, Heartbeat, LoadReport, ConfigurationRequest, ConfigurationDifference, SuspectNotice,
+        Offer, Granted, BodyChunk, BodyAcknowledgement, Refused, AnswerHead, AnswerChunk, AnswerEnd, Cancel, Revoke,
+        RevokeResult, Resume, Goodbye, PeerHello, PeerLoad, KnowledgeQuery, KnowledgeReply, LoadNews, UpstreamNotice>;
 
 } // namespace Wire
--- a/tests/auto/relay/tst_upstreamhealth.cpp
+++ b/tests/auto/relay/tst_upstreamhealth.cpp
@@ -30,6 +30,29 @@
     CHECK_TRUE(this->health.isUsable("u", this->now + 500ms));
 }
 
+TEST(UpstreamHealthTest, anEngineThatCannotHelpStillRunsPrompts)
+{
+    const auto pause = this->health.noteCannotHelp("u", this->now);
+    this->health.note("u", Observation::Answered, this->now + 100ms);
+    CHECK_TRUE(this->health.isUsable("u", this->now + 200ms));
+    CHECK_FALSE(this->health.mayHelp("u", this->now + 200ms));
+    CHECK_TRUE(this->health.mayHelp("u", this->now + pause));
+}
+
+TEST(UpstreamHealthTest, whatAnotherProcessMetIsBelievedForAWhile)
+{
+    this->health.noteHearsay("u", 400ms, false, this->now);
+    CHECK_FALSE(this->health.isUsable("u", this->now + 300ms));
+    CHECK_TRUE(this->health.isUsable("u", this->now + 400ms));
+    CHECK_TRUE(this->health.mayHelp("u", this->now));
+    // A process that is cut off must not keep the others away.
+    this->health.noteHearsay("u", 1h, false, this->now);
+    CHECK_TRUE(this->health.isUsable("u", this->now + 2s));
+    this->health.noteHearsay("u", 1h, true, this->now);
+    CHECK_FALSE(this->health.mayHelp("u", this->now + 1s));
+    CHECK_TRUE(this->health.mayHelp("u", this->now + 4s));
+}
+
 TEST(UpstreamHealthTest, attemptsThatFailTogetherCountOnce)
 {
     for (int i = 0; i < 20; ++i)
--- a/tests/auto/wire/tst_codec.cpp
+++ b/tests/auto/wire/tst_codec.cpp
@@ -80,6 +80,11 @@
     CHECK_TRUE(gotNews.loads[0].shares == load.shares);
     CHECK_TRUE(gotNews.loads[1].shares.empty());
 
+    const UpstreamNotice gotNotice = roundTrip(UpstreamNotice { "u/7", 400, true });
+    STRCMP_EQUAL("u/7", gotNotice.run.c_str());
+    LONGS_EQUAL(400, gotNotice.pauseMs);
+    CHECK_TRUE(gotNotice.isHelpOnly);
+
     KnowledgeReply reply;
     reply.isKnown = true;
     reply.operatorRecords.push_back({ "config", std::string("{\"v\":\x80}\0", 9), 7 });
