Spread short prompts while a gateway does not hear the others

A gateway that hears fewer than six tenths of those it knows now opens all engines and chooses by chance, and one that is connected to by a peer connects to it at once.

--- a/src/apps/gateway/dispatcher.cpp
+++ b/src/apps/gateway/dispatcher.cpp
@@ -196,7 +196,9 @@
         candidate.mayHelp = !isCold && !upstream->missingUntil && this->health.mayHelp(upstream->runName(), now);
         candidates.push_back(candidate);
     }
-    return Placement::placePrompt(this->lines.find(ticket.call.service)->second.model(), candidates, prompt.demand);
+    Placement::PromptDemand demand = prompt.demand;
+    demand.isLoadKnown = this->isLoadKnown;
+    return Placement::placePrompt(this->lines.find(ticket.call.service)->second.model(), candidates, demand);
 }
 
 void Dispatcher::dispatch(Placement::WaitingId id, const Placement::PromptPlacement& placement)
--- a/src/apps/gateway/dispatcher.h
+++ b/src/apps/gateway/dispatcher.h
@@ -70,6 +70,9 @@
     /** Sets the factor and the addition by which a cold upstream's rate may be exceeded. */
     void setColdBound(double factor, double slack);
 
+    /** Sets whether what most other processes have under way is known. */
+    void setLoadKnown(bool isKnown) { this->isLoadKnown = isKnown; }
+
     /** Sets how many processes send to the same upstreams. */
     void setProcessCount(std::size_t count);
 
@@ -114,6 +117,7 @@
     std::string failureDomain;
     std::uint64_t processHash;
     std::size_t processCount = 1;
+    bool isLoadKnown = true;
     double coldFactor = 1;
     double coldSlack = 0;
     std::shared_ptr<const Policy::TrafficPolicy> policy;
--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -197,6 +197,7 @@
                 + " under_way=" + std::to_string(this->flows.size()));
     this->knowledge.tick();
     this->mesh.tick();
+    this->dispatcher.setLoadKnown(this->mesh.hearsMost());
     this->memory.tick();
     std::vector<std::shared_ptr<RelayFlow>> active;
     for (const auto& [key, flow] : this->flows)
--- a/src/apps/gateway/peermesh.cpp
+++ b/src/apps/gateway/peermesh.cpp
@@ -23,6 +23,9 @@
 constexpr int heartbeatsUntilSilent = 3;
 constexpr Duration firstRetryPause = std::chrono::milliseconds(300);
 constexpr Duration longestRetryPause = std::chrono::seconds(5);
+// From this part of the known gateways on, what is heard is taken for the whole load. Some that are known are gone for
+// good, and a failure domain may be away.
+constexpr double mostOfPeers = 0.6;
 // Work that ended is told within this time for each process that it is told to, together with what changed meanwhile.
 constexpr Duration tellIntervalOfPeer = std::chrono::milliseconds(5);
 // The same where a relay passes it on.
@@ -91,6 +94,11 @@
     return this->members.size() + (this->members.contains(this->self.process) ? 0 : 1);
 }
 
+bool PeerMesh::hearsMost() const
+{
+    return static_cast<double>(this->peers.size() + 1) >= mostOfPeers * static_cast<double>(this->memberCount());
+}
+
 void PeerMesh::reset()
 {
     for (auto& [peerAddress, peer] : this->outgoing) {
@@ -327,6 +335,12 @@
     peer.address = hello.address;
     peer.candidate = { hello.process, hello.failureDomain, static_cast<double>(hello.processorMillis) / 1e3 };
     this->setMembers({ { hello.process, hello.address } });
+    // Who connects can be reached again, so there is no reason to wait.
+    const auto own = this->outgoing.find(hello.address);
+    if (own != this->outgoing.end() && own->second.connection == 0) {
+        own->second.nextTry = this->clock.now();
+        own->second.failures = 0;
+    }
     this->updateCandidate(peer);
 }
 
--- a/src/apps/gateway/peermesh.h
+++ b/src/apps/gateway/peermesh.h
@@ -80,6 +80,9 @@
     /** @return the gateways that are known, this one included. */
     std::size_t memberCount() const;
 
+    /** @return whether most of the known gateways are heard. */
+    bool hearsMost() const;
+
     /** Drops the connections, which may be dead after a suspension of the machine. */
     void reset();
 
--- a/src/libs/placement/placementplanner.cpp
+++ b/src/libs/placement/placementplanner.cpp
@@ -190,7 +190,9 @@
     // Counts the engines at the front of the order that hold all short streams when each is packed.
     void countOpenEngines()
     {
-        if (this->candidates.empty())
+        // Processes that do not hear each other would all fill the same first engines.
+        this->openEngines = this->candidates.size();
+        if (this->candidates.empty() || !this->demand.isLoadKnown)
             return;
         std::int64_t alike = 1;
         for (std::size_t i = 0; i < this->candidates.size(); ++i)
--- a/src/libs/placement/placementplanner.h
+++ b/src/libs/placement/placementplanner.h
@@ -48,6 +48,8 @@
     Foundation::Duration goalLeft {};
     /** What the request is worth beside others. */
     double weight = 1;
+    /** Whether what most other processes have under way is known. */
+    bool isLoadKnown = true;
 };
 
 /** An engine that helps to read a prompt. */
--- a/tests/auto/placement/tst_placementplanner.cpp
+++ b/tests/auto/placement/tst_placementplanner.cpp
@@ -6,6 +6,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 using namespace Placement;
@@ -209,3 +210,23 @@
         other->helpers, [&taken](const PlacedHelper& helper) { return taken.contains(helper.index); });
     CHECK_TRUE(static_cast<std::size_t>(shared) < other->helpers.size() / 2);
 }
+
+// The load of a start of all gateways at once: their callers come back together, and nobody hears the others yet.
+TEST(PlacementPlannerTest, gatewaysThatDoNotHearEachOtherSpreadShortPrompts)
+{
+    const std::vector<UpstreamShare> shares(40);
+    std::map<std::size_t, int> taken;
+    this->caption.isLoadKnown = false;
+    for (std::size_t gateway = 0; gateway < 35; ++gateway) {
+        auto candidates = candidatesOf(shares);
+        for (std::size_t i = 0; i < shares.size(); ++i)
+            candidates[i].chance = static_cast<double>((i + 1) * (gateway + 3) % 41) / 41;
+        const auto placement = placePrompt(this->model, candidates, this->caption);
+        CHECK_TRUE(placement.has_value());
+        ++taken[placement->upstream];
+    }
+    // Each could take its own engine; a few may meet.
+    CHECK_TRUE(taken.size() >= 20);
+    for (const auto& [engine, count] : taken)
+        CHECK_TRUE(count <= 3);
+}
