Write a gateway's address to the store only once, and read the addresses of many starts together

Each restart wrote the gateway's address again, and each such record woke all 29 gateways that wait for one. What is listed already is not written again, and gateways pause 1.5 s after a read of the addresses. Test: aRestartedGatewayDoesNotWriteItsAddressAgain failed before.

--- a/src/apps/gateway/knowledgekeeper.cpp
+++ b/src/apps/gateway/knowledgekeeper.cpp
@@ -24,6 +24,8 @@
 constexpr Duration upstreamPause = std::chrono::milliseconds(450);
 // Gateways come and go rarely, and they tell each other their addresses.
 constexpr Duration peerWait = std::chrono::seconds(15);
+// When many start together, their records are read together.
+constexpr Duration peerPause = std::chrono::milliseconds(1'500);
 // One gateway of a failure domain reads for all. Another one reads if it was told nothing for so much longer than the
 // reader needs, and so much longer again for each of three that come before it.
 constexpr Duration rankDelay = std::chrono::milliseconds(300);
@@ -114,6 +116,7 @@
     this->peerFollower.topic = PlatformAdapter::Topic::peers;
     this->peerFollower.records = &this->peerRecords;
     this->peerFollower.wait = peerWait;
+    this->peerFollower.pause = peerPause;
 }
 
 void KnowledgeKeeper::start()
@@ -180,8 +183,14 @@
 void KnowledgeKeeper::registerSelf()
 {
     const TimePoint now = this->clock.now();
-    if (this->isRegistered || this->isRegistering || now < this->nextRegistration)
+    if (this->isRegistered || this->isRegistering || now < this->nextRegistration || !this->peerFollower.isListed)
         return;
+    // A record wakes every gateway that waits for one, so what an earlier run wrote is not written again.
+    const auto listed = this->peerAddresses.find(this->settings.node.name);
+    if (listed != this->peerAddresses.end() && listed->second == this->settings.node.peers.text()) {
+        this->isRegistered = true;
+        return;
+    }
     this->isRegistering = true;
     this->nextRegistration = now + failurePause * 4;
     const auto& node = this->settings.node;
--- a/tests/auto/gateway/standinstore.cpp
+++ b/tests/auto/gateway/standinstore.cpp
@@ -102,6 +102,7 @@
 
 Web::HttpReply StandinStore::append(const Web::HttpRequest& request)
 {
+    ++this->appends;
     Topic& topic = this->topics[std::string(request.parameter("topic"))];
     topic.contents.push_back(request.body.substr(4));
     return jsonReply({ { "offset", topic.contents.size() - 1 }, { "end_offset", topic.contents.size() } });
--- a/tests/auto/gateway/standinstore.h
+++ b/tests/auto/gateway/standinstore.h
@@ -27,6 +27,7 @@
     void dropHistory(const std::string& topic);
 
     int calls = 0;
+    int appends = 0;
 
 private:
     struct Topic {
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -74,7 +74,8 @@
     StandinStore store { this->context, this->storePort };
     StandinUpstream one { this->context, "one", unusedPort() };
     StandinUpstream two { this->context, "two", unusedPort() };
-    GatewayCore core { this->context, settingsOf(this->storePort) };
+    GatewaySettings settings = settingsOf(this->storePort);
+    GatewayCore core { this->context, this->settings };
     Web::HttpServer front { this->context, { "127.0.0.1", this->gatewayPort, 1 << 20 },
         [this](const std::shared_ptr<Web::HttpExchange>& exchange) { this->core.serve(exchange); } };
     Platform::HttpTransfers callers { this->context };
@@ -346,3 +347,20 @@
     CHECK_FALSE(isStopped);
     CHECK_TRUE(this->runUntil([&] { return isStopped; }, 1s));
 }
+
+// Each record of a gateway's address wakes all others, so a restart of many must not write them again.
+TEST(GatewayTest, aRestartedGatewayDoesNotWriteItsAddressAgain)
+{
+    this->store.put("keyed.peers", this->settings.node.name, this->settings.node.peers.text());
+    this->begin("app");
+    this->runFor(300ms);
+    LONGS_EQUAL(0, this->store.appends);
+}
+
+TEST(GatewayTest, aNewGatewayWritesItsAddressOnce)
+{
+    this->begin("app");
+    CHECK_TRUE(this->runUntil([this] { return this->store.appends > 0; }));
+    this->runFor(300ms);
+    LONGS_EQUAL(1, this->store.appends);
+}
