Release a socket's watch as soon as libcurl drops the socket

Where the socket stayed open the second registration was refused, which ended the process; where a kept connection had broken and the new socket had the old number, the release of the old watch took the new registration away, and the call stood still until libcurl looked by itself, a second later. Test: aCallGoesOnWhenItsKeptConnectionBreaks took 1,000 ms a round before and fails so; 1 ms after. The refused registration has the same cause; it was not produced in a test (three tries at the same moment of two calls). Ruled out: signals at the start, memory. Before: any prompt on a kept connection that had gone stale was a second late.

--- a/src/libs/platform/httptransfers.cpp
+++ b/src/libs/platform/httptransfers.cpp
@@ -228,8 +228,14 @@
     {
     }
 
-    // The socket belongs to libcurl, which closes it.
-    ~SocketWatch() { this->descriptor.release(); }
+    ~SocketWatch() { this->stop(); }
+
+    // Stops to watch the socket. It belongs to libcurl, which closes it.
+    void stop()
+    {
+        if (this->descriptor.is_open())
+            this->descriptor.release();
+    }
 
     asio::posix::stream_descriptor descriptor;
     int wanted = 0;
@@ -296,7 +302,13 @@
     void watch(curl_socket_t socket, int what)
     {
         if (what == CURL_POLL_REMOVE) {
-            this->watches.erase(socket);
+            // A handler that runs may still hold the watch, and libcurl may go on with the same socket at once: what is
+            // released later would take the new watch's place in the reactor away.
+            const auto found = this->watches.find(socket);
+            if (found != this->watches.end()) {
+                found->second->stop();
+                this->watches.erase(found);
+            }
             return;
         }
         auto& slot = this->watches[socket];
--- a/tests/auto/platform/tst_httptransfers.cpp
+++ b/tests/auto/platform/tst_httptransfers.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 using namespace Platform;
 
@@ -22,6 +23,8 @@
     asio::io_context context { 1 };
     std::uint16_t port = unusedPort();
     int posts = 0;
+    /** Whether the next request finds its connection broken. */
+    bool breaksNext = false;
     Web::HttpServer server { this->context, { "127.0.0.1", this->port, 1'000'000 },
         [this](const std::shared_ptr<Web::HttpExchange>& exchange) { this->answer(*exchange); } };
     HttpTransfers transfers { this->context };
@@ -33,6 +36,10 @@
 
     void answer(Web::HttpExchange& exchange)
     {
+        if (std::exchange(this->breaksNext, false)) {
+            exchange.abort();
+            return;
+        }
         if (exchange.request().method != "POST") {
             exchange.respond({ 200, "text/plain", {}, "ok" });
             return;
@@ -91,3 +98,19 @@
         context.run_one_for(std::chrono::milliseconds(100));
     CHECK_TRUE(end == CallEnd::NotConnected);
 }
+
+// libcurl closes a kept connection that broke and opens another one within the same event; the new socket has the
+// number of the old one.
+TEST(HttpTransfers, aCallGoesOnWhenItsKeptConnectionBreaks)
+{
+    BreakingServer server;
+    for (int round = 0; round < 5; ++round) {
+        CHECK_TRUE(server.call("GET", Resend::Allowed).isSuccess());
+        server.breaksNext = true;
+        const auto begin = std::chrono::steady_clock::now();
+        CHECK_TRUE(server.call("GET", Resend::Allowed).isSuccess());
+        // Without the socket's events the call would go on only when libcurl looks by itself, after a second.
+        CHECK_TRUE(std::chrono::steady_clock::now() - begin < std::chrono::milliseconds(500));
+        CHECK_FALSE(server.breaksNext);
+    }
+}
