--- a/src/apps/gateway/loadspreader.cpp
+++ b/src/apps/gateway/loadspreader.cpp
@@ -98,10 +98,13 @@
 {
     this->lastFlush = now;
     LoadNews fromHere { NewsScope::FailureDomain, std::exchange(this->ofDomain, {}) };
+    std::vector<std::string> others;
     for (const auto& [domain, processes] : this->choice.domains()) {
         if (domain != this->self.failureDomain)
-            this->handlers.send(this->choice.relayOf(domain, now), fromHere);
+            others.push_back(domain);
     }
+    for (const std::string& domain : others)
+        this->handlers.send(this->choice.relayOf(domain, now), fromHere);
     LoadNews forNeighbours { NewsScope::Receiver, std::move(fromHere.loads) };
     std::ranges::move(this->ofOthers, std::back_inserter(forNeighbours.loads));
     this->ofOthers.clear();
