--- a/tests/standins/crashableupstream.cpp
+++ b/tests/standins/crashableupstream.cpp
@@ -2,10 +2,7 @@
 
 #include "standinanswer.h"
 
-#include <foundation/clock.h>
-
 #include <csignal>
-#include <fcntl.h>
 #include <unistd.h>
 
 namespace {
@@ -37,12 +34,10 @@
     , id(std::move(id))
     , server(context, { "127.0.0.1", port, 1 << 20 },
           [this](const std::shared_ptr<Web::HttpExchange>& exchange) { this->handle(exchange); })
-    , runLogDescriptor(::open(runLog.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644))
+    , runLog(runLog, this->id)
 {
 }
 
-CrashableUpstream::~CrashableUpstream() { ::close(this->runLogDescriptor); }
-
 void CrashableUpstream::start()
 {
     this->server.start([](const std::string&) { ::_exit(1); });
@@ -55,7 +50,7 @@
         exchange->respond({ 421, "text/plain", { { "X-Instance-Id", this->id } }, "", false });
         return;
     }
-    this->log("begin", request);
+    this->runLog.write("begin", request.header("X-Attempt-Id"));
     const auto run = std::make_shared<Run>(Run { exchange, asio::steady_timer(this->context) });
     run->isStream = request.path.starts_with("/stream/");
     run->crashes = hasSegment(request, "/crash/");
@@ -94,15 +89,6 @@
 
 void CrashableUpstream::crash(const Web::HttpRequest& request) const
 {
-    this->log("crash", request);
+    this->runLog.write("crash", request.header("X-Attempt-Id"));
     ::raise(hasSegment(request, "/silence/") ? SIGSTOP : SIGKILL);
 }
-
-void CrashableUpstream::log(const std::string& what, const Web::HttpRequest& request) const
-{
-    const auto now = std::chrono::steady_clock::now().time_since_epoch();
-    const std::string line = what + " " + this->id + " " + std::string(request.header("X-Attempt-Id")) + " "
-        + std::to_string(Foundation::toMilliseconds(now)) + "\n";
-    if (::write(this->runLogDescriptor, line.data(), line.size()) < 0)
-        ::_exit(1);
-}
--- a/tests/standins/crashableupstream.h
+++ b/tests/standins/crashableupstream.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "runlog.h"
+
 #include <web/httpserver.h>
 
 #include <asio/steady_timer.hpp>
@@ -18,9 +20,6 @@
 public:
     /** @param runLog the path of a file to which several upstreams append. */
     CrashableUpstream(asio::io_context& context, std::string id, std::uint16_t port, const std::string& runLog);
-    ~CrashableUpstream();
-    CrashableUpstream(const CrashableUpstream&) = delete;
-    CrashableUpstream& operator=(const CrashableUpstream&) = delete;
 
     void start();
 
@@ -31,10 +30,9 @@
     void handle(const std::shared_ptr<Web::HttpExchange>& exchange);
     void continueRun(const std::shared_ptr<Run>& run);
     void crash(const Web::HttpRequest& request) const;
-    void log(const std::string& what, const Web::HttpRequest& request) const;
 
     asio::io_context& context;
     std::string id;
     Web::HttpServer server;
-    int runLogDescriptor = -1;
+    RunLog runLog;
 };
--- a/tests/standins/standinanswer.cpp
+++ b/tests/standins/standinanswer.cpp
@@ -19,3 +19,11 @@
 }
 
 std::string makeEvent(int id) { return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n"; }
+
+std::string standinBody()
+{
+    std::string body;
+    for (int line = 0; line < 40; ++line)
+        body += "line " + std::to_string(line) + " of the answer\n";
+    return body;
+}
--- a/tests/standins/standinanswer.h
+++ b/tests/standins/standinanswer.h
@@ -22,3 +22,9 @@
 
 /** Returns an event of a stream. */
 std::string makeEvent(int id);
+
+/** The last event of the streams of stand-ins that run in processes of their own. */
+constexpr int lastStandinEvent = 5;
+
+/** Returns the body of calls at such stand-ins. */
+std::string standinBody();
--- a/tests/system/crashproof.cpp
+++ b/tests/system/crashproof.cpp
@@ -1,13 +1,12 @@
 #include "crashscenario.h"
+#include "parallelruns.h"
 
 #include <application/commandline.h>
 
 #include <gflags/gflags.h>
 
-#include <atomic>
 #include <iostream>
 #include <mutex>
-#include <thread>
 
 DEFINE_string(scenario, "", "part of the name of the scenarios to run; all if empty");
 DEFINE_uint64(first_seed, 1, "seed of the first round of scenarios");
@@ -59,16 +58,8 @@
         }
     }
     Totals totals;
-    std::atomic<std::size_t> next { 0 };
-    std::vector<std::thread> threads;
-    for (unsigned i = 0; i < FLAGS_jobs; ++i) {
-        threads.emplace_back([&] {
-            for (std::size_t index = next++; index < runs.size(); index = next++)
-                runOne(runs[index].first, programs, runs[index].second, totals);
-        });
-    }
-    for (std::thread& thread : threads)
-        thread.join();
+    Proof::runInParallel(runs.size(), FLAGS_jobs,
+        [&](std::size_t index) { runOne(runs[index].first, programs, runs[index].second, totals); });
     std::cout << totals.passed << " passed, " << totals.failed << " failed\n";
     return totals.failed == 0 && totals.passed > 0 ? 0 : 1;
 }
--- a/tests/system/crashscenario.cpp
+++ b/tests/system/crashscenario.cpp
@@ -1,10 +1,9 @@
 #include "crashscenario.h"
 
-#include "gatewayfleet.h"
+#include "fleetrunner.h"
 
 #include <algorithm>
 #include <map>
-#include <stdexcept>
 
 namespace Proof {
 
@@ -18,8 +17,6 @@
 constexpr std::size_t crashLimit = 3;
 constexpr std::size_t allowedLateRuns = 3;
 constexpr Duration stabilityWindow = 3s;
-constexpr Duration startTimeout = 10s;
-constexpr Duration readinessInterval = 50ms;
 constexpr Duration longestRun = 40s;
 // How long the request is still sent once late runs count.
 constexpr Duration lateTime = 8s;
@@ -77,20 +74,14 @@
 
     CrashScenarioResult run()
     {
-        this->fleet.start();
-        const TimePoint startEnd = std::chrono::steady_clock::now() + startTimeout;
-        while (!this->fleet.isReady()) {
-            if (std::chrono::steady_clock::now() >= startEnd)
-                throw std::runtime_error("the gateways did not become ready");
-            this->runFor(readinessInterval);
-        }
+        this->runner.start();
         // Until the gateways know each other and all upstreams, and have served the requests of the usual load.
         this->isLoaded = true;
-        this->runFor(stabilityWindow + 500ms);
+        this->runner.runFor(stabilityWindow + 500ms);
         this->begin = std::chrono::steady_clock::now();
         if (this->scenario.fault == GatewayFault::StoreAway)
             this->fleet.setStoreUnavailable(true);
-        this->runUntil([this] { return this->isOver(); }, longestRun);
+        this->runner.runUntil([this] { return this->isOver(); }, longestRun);
         return this->evaluate();
     }
 
@@ -102,27 +93,8 @@
         std::string body;
     };
 
-    void runFor(Duration length)
-    {
-        this->runUntil([] { return false; }, length);
-    }
-
-    template <typename Condition> bool runUntil(Condition condition, Duration limit)
-    {
-        const TimePoint end = std::chrono::steady_clock::now() + limit;
-        while (!condition() && std::chrono::steady_clock::now() < end) {
-            this->context.run_one_for(5ms);
-            this->step(std::chrono::steady_clock::now());
-        }
-        return condition();
-    }
-
     void step(TimePoint now)
     {
-        if (now - this->lastTick < 10ms)
-            return;
-        this->lastTick = now;
-        this->fleet.tick();
         if (this->isLoaded && now >= this->nextOtherRequest) {
             this->nextOtherRequest = now + otherRequestInterval;
             this->sendOtherRequest();
@@ -320,6 +292,7 @@
     asio::io_context context { 1 };
     std::mt19937_64 random;
     GatewayFleet fleet;
+    FleetRunner runner { this->context, this->fleet, [this](TimePoint now) { this->step(now); } };
     std::size_t killsAllAfter;
     CrashScenarioResult result;
     std::map<std::string, SentRequest> sent;
@@ -328,7 +301,6 @@
     int lastNumber = 0;
     bool isLoaded = false;
     TimePoint begin {};
-    TimePoint lastTick {};
     TimePoint nextCrashRequest {};
     TimePoint nextOtherRequest {};
     std::size_t faultCount = 0;
--- a/tests/system/gatewayfleet.cpp
+++ b/tests/system/gatewayfleet.cpp
@@ -133,7 +133,8 @@
                 { "listen",
                     { { "front", endpoint(gateway.callerPort) }, { "readiness", endpoint(gateway.readinessPort) },
                         { "control", endpoint(gateway.peerPort) } } },
-                { "seeds", nlohmann::json::parse(this->seeds()) }, { "limits", { { "cpu_share", 0.2 } } },
+                { "seeds", nlohmann::json::parse(this->seeds()) },
+                { "limits", { { "cpu_share", 0.2 }, { "memory_mb", this->plan.gatewayMemoryMb } } },
                 { "bounds",
                     { { "grace_s", 8 }, { "revoke_ms", 30'000 }, { "config_apply_ms", 2'000 },
                         { "retry_budget_ratio", 0.2 }, { "retry_budget_slack", 100 }, { "budget_window_s", 10 } } },
@@ -179,7 +180,7 @@
 
 void GatewayFleet::startUpstream(UpstreamProcess& upstream)
 {
-    upstream.process = std::make_unique<Fleet::ChildProcess>((this->programs / "bluebell-crashable-upstream").string(),
+    upstream.process = std::make_unique<Fleet::ChildProcess>((this->programs / this->plan.upstreamProgram).string(),
         std::vector<std::string> { "--id", upstream.id, "--port", std::to_string(upstream.port), "--run_log",
             (this->folder / "runs.txt").string() },
         (this->folder / (upstream.id + ".log")).string());
--- a/tests/system/gatewayfleet.h
+++ b/tests/system/gatewayfleet.h
@@ -36,6 +36,9 @@
         /** The numbers of upstreams of the two services. */
         std::size_t applications = 6;
         std::size_t engines = 8;
+        std::string upstreamProgram = "bluebell-crashable-upstream";
+        /** The memory limit of a gateway that its settings name, in MB. */
+        int gatewayMemoryMb = 260;
     };
 
     /** @param programs the folder that contains the programs. @param seed decides how upstreams come back. */
@@ -54,6 +57,11 @@
     std::size_t gatewayCount() const { return this->gateways.size(); }
     bool isGatewayRunning(std::size_t index) const { return this->gateways[index].isRunning; }
     std::string gatewayAddress(std::size_t index) const;
+    std::uint16_t callerPort(std::size_t index) const { return this->gateways[index].callerPort; }
+    std::int64_t gatewayResidentBytes(std::size_t index) const
+    {
+        return this->gateways[index].process->residentBytes();
+    }
     void startGateway(std::size_t index);
     void killGateway(std::size_t index);
     void pauseGateway(std::size_t index);
