Report an answer that ends in its head as broken

Cause: libcurl reports a transfer as complete if the connection is closed in order before the empty line that ends the head, and nothing else says where the answer ends. The same holds for a Content-Length too large for its type, which libcurl ignores. Trailers were taken for headers.

The client now notes the end of the final head itself, delivers the head at that moment, tells how the body is framed, and limits the heads of an answer, interim ones included.

--- a/src/libs/platform/httptransfers.cpp
+++ b/src/libs/platform/httptransfers.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <charconv>
 #include <map>
 
 namespace Platform {
@@ -16,6 +17,9 @@
 // libcurl's default of 64 KB for each call with a body is larger than most bodies here.
 constexpr long uploadBufferBytes = 16 * 1024;
 constexpr long maximumPooledConnections = 4'096;
+// All heads of an answer together, the interim ones (1xx) included. Servers commonly limit a head to 8 or 16 KB.
+constexpr std::size_t maximumHeadBytes = 128 * 1024;
+constexpr int firstFinalStatus = 200;
 
 struct CurlDeleter {
     void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
@@ -35,7 +39,11 @@
     asio::io_context* context = nullptr;
     HttpCallResult result;
     std::size_t sentBodyBytes = 0;
-    bool isHeadDelivered = false;
+    std::size_t headBytes = 0;
+    /** Whether the line that ends the head of the final answer was received. */
+    bool isHeadComplete = false;
+    /** Why this process ended the call; empty if it did not. */
+    std::string_view abortReason;
     /** Whether a connection was established on which libcurl began to send the call. */
     bool wasSent = false;
 };
@@ -54,17 +62,6 @@
     return static_cast<int>(status);
 }
 
-void deliverHead(Transfer& transfer)
-{
-    if (transfer.isHeadDelivered || !transfer.handlers.onHead)
-        return;
-    transfer.isHeadDelivered = true;
-    asio::post(*transfer.context,
-        [onHead = transfer.handlers.onHead,
-            head = HttpAnswerHead { answerStatus(transfer.easy.get()), answerContentType(transfer.easy.get()),
-                transfer.result.headers }]() mutable { onHead(std::move(head)); });
-}
-
 std::string_view trimmed(std::string_view text)
 {
     constexpr std::string_view blanks = " \t\r\n";
@@ -74,15 +71,64 @@
     return text.substr(first, text.find_last_not_of(blanks) - first + 1);
 }
 
+std::string_view findHeader(const Transfer& transfer, std::string_view name)
+{
+    const auto found = std::ranges::find_if(transfer.result.headers,
+        [name](const HttpField& field) { return curl_strequal(field.name.c_str(), name.data()) != 0; });
+    return found == transfer.result.headers.end() ? std::string_view() : std::string_view(found->value);
+}
+
+BodyFraming framingOf(const Transfer& transfer)
+{
+    if (!findHeader(transfer, "Transfer-Encoding").empty())
+        return BodyFraming::Chunks;
+    return findHeader(transfer, "Content-Length").empty() ? BodyFraming::ConnectionClose : BodyFraming::Length;
+}
+
+// libcurl reads the body up to the end of the connection if the length is too large for its type.
+bool hasUnusableLength(const Transfer& transfer)
+{
+    if (framingOf(transfer) != BodyFraming::Length)
+        return false;
+    const std::string_view text = findHeader(transfer, "Content-Length");
+    curl_off_t length = 0;
+    return std::from_chars(text.data(), text.data() + text.size(), length).ec != std::errc();
+}
+
+void deliverHead(const Transfer& transfer)
+{
+    if (!transfer.handlers.onHead)
+        return;
+    asio::post(*transfer.context,
+        [onHead = transfer.handlers.onHead,
+            head = HttpAnswerHead { answerStatus(transfer.easy.get()), answerContentType(transfer.easy.get()),
+                transfer.result.headers, framingOf(transfer) }]() mutable { onHead(std::move(head)); });
+}
+
 std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* user)
 {
-    auto& headers = static_cast<Transfer*>(user)->result.headers;
+    auto& transfer = *static_cast<Transfer*>(user);
+    auto& headers = transfer.result.headers;
     const std::string_view line(data, size * count);
+    // Ignores trailers, which follow a body in chunks.
+    if (transfer.isHeadComplete)
+        return line.size();
+    transfer.headBytes += line.size();
+    if (transfer.headBytes > maximumHeadBytes) {
+        transfer.abortReason = "the head of the answer is too long";
+        return 0;
+    }
     if (line.starts_with("HTTP/")) {
         // Drops the headers of an interim answer (1xx) that precedes this one.
         headers.clear();
         return line.size();
     }
+    if (trimmed(line).empty()) {
+        transfer.isHeadComplete = answerStatus(transfer.easy.get()) >= firstFinalStatus;
+        if (transfer.isHeadComplete)
+            deliverHead(transfer);
+        return line.size();
+    }
     const std::size_t colon = line.find(':');
     if (colon != std::string_view::npos)
         headers.push_back({ std::string(line.substr(0, colon)), std::string(trimmed(line.substr(colon + 1))) });
@@ -105,7 +151,6 @@
         transfer.result.body.append(data, bytes);
         return bytes;
     }
-    deliverHead(transfer);
     asio::post(*transfer.context,
         [onData = transfer.handlers.onData, part = std::string(data, bytes)]() mutable { onData(std::move(part)); });
     return bytes;
@@ -127,10 +172,18 @@
     return CURL_PREREQFUNC_OK;
 }
 
+// Returns why an answer that libcurl takes as complete is not; empty if it is complete.
+std::string_view findDefect(const Transfer& transfer)
+{
+    if (!transfer.isHeadComplete)
+        return "the connection was closed in the head of the answer";
+    return hasUnusableLength(transfer) ? "the length of the answer is not usable" : std::string_view();
+}
+
 CallOutcome toCallOutcome(CURLcode code, const Transfer& transfer)
 {
     if (code == CURLE_OK)
-        return CallOutcome::Complete;
+        return findDefect(transfer).empty() ? CallOutcome::Complete : CallOutcome::Broken;
     // A reused connection may break after the call was sent on it, and libcurl's new connection may be refused.
     if (transfer.wasSent)
         return CallOutcome::Broken;
@@ -217,14 +270,19 @@
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
 }
 
+std::string errorText(CURLcode code, const Transfer& transfer)
+{
+    if (code == CURLE_OK)
+        return std::string(findDefect(transfer));
+    return transfer.abortReason.empty() ? curl_easy_strerror(code) : std::string(transfer.abortReason);
+}
+
 void deliverResult(Transfer& transfer, CURLcode code)
 {
     transfer.result.outcome = toCallOutcome(code, transfer);
     transfer.result.status = answerStatus(transfer.easy.get());
     transfer.result.contentType = answerContentType(transfer.easy.get());
-    transfer.result.error = code == CURLE_OK ? "" : curl_easy_strerror(code);
-    if (code == CURLE_OK)
-        deliverHead(transfer);
+    transfer.result.error = errorText(code, transfer);
     asio::post(
         *transfer.context, [onEnd = std::move(transfer.handlers.onEnd), result = std::move(transfer.result)]() mutable {
             onEnd(std::move(result));
--- a/src/libs/platform/httptransfers.h
+++ b/src/libs/platform/httptransfers.h
@@ -59,11 +59,20 @@
     Broken,
 };
 
+/** How an answer says where its body ends. */
+enum class BodyFraming : std::uint8_t {
+    Length,
+    Chunks,
+    /** The body ends with the connection, so an orderly close in the middle of it cannot be told from its end. */
+    ConnectionClose,
+};
+
 /** The status and the headers of an answer. */
 struct HttpAnswerHead {
     int status = 0;
     std::string contentType;
     std::vector<HttpField> headers;
+    BodyFraming framing = BodyFraming::Length;
 };
 
 struct HttpCallResult {
--- a/tests/auto/platform/tst_httptransfers.cpp
+++ b/tests/auto/platform/tst_httptransfers.cpp
@@ -70,6 +70,60 @@
     }
 };
 
+/** Sends fixed bytes as the answer to each request and closes the connection in order. */
+struct RawServer {
+    asio::io_context context { 1 };
+    asio::ip::tcp::acceptor acceptor { this->context, { asio::ip::make_address("127.0.0.1"), 0 } };
+    HttpTransfers transfers { this->context };
+    std::string answer;
+
+    explicit RawServer(std::string answer)
+        : answer(std::move(answer))
+    {
+        this->accept();
+    }
+
+    void accept()
+    {
+        this->acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket accepted) {
+            if (error)
+                return;
+            const auto socket = std::make_shared<asio::ip::tcp::socket>(std::move(accepted));
+            const auto request = std::make_shared<std::string>();
+            asio::async_read_until(*socket, asio::dynamic_buffer(*request), "\r\n\r\n",
+                [this, socket, request](const asio::error_code&, std::size_t) {
+                    asio::async_write(
+                        *socket, asio::buffer(this->answer), [socket](const asio::error_code&, std::size_t) {});
+                });
+            this->accept();
+        });
+    }
+
+    HttpCall makeCall()
+    {
+        HttpCall call;
+        call.url = "http://127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()) + "/";
+        return call;
+    }
+
+    HttpCallResult run(const std::function<void(HttpCall, ResultHandler)>& start)
+    {
+        std::optional<HttpCallResult> result;
+        start(this->makeCall(), [&result](HttpCallResult received) { result = std::move(received); });
+        const auto deadline = std::chrono::steady_clock::now() + testTimeout;
+        while (!result && std::chrono::steady_clock::now() < deadline)
+            this->context.run_one_for(std::chrono::milliseconds(100));
+        CHECK_TRUE(result.has_value());
+        return *result;
+    }
+
+    HttpCallResult fetch()
+    {
+        return this->run(
+            [this](HttpCall call, ResultHandler onDone) { this->transfers.fetch(std::move(call), std::move(onDone)); });
+    }
+};
+
 } // namespace
 
 TEST_GROUP(HttpTransfers) {};
@@ -130,3 +184,57 @@
     server.endsWithNextRequest = true;
     CHECK_TRUE(server.call("GET", Resend::Allowed).outcome == CallOutcome::Broken);
 }
+
+TEST(HttpTransfers, anAnswerThatEndsInItsHeadIsBroken)
+{
+    RawServer server("HTTP/1.1 200 OK\r\nX-Response-Signature: signed\r\n");
+    CHECK_TRUE(server.fetch().outcome == CallOutcome::Broken);
+}
+
+TEST(HttpTransfers, anAnswerThatEndsAfterAnInterimHeadIsBroken)
+{
+    RawServer server("HTTP/1.1 102 Processing\r\n\r\n");
+    CHECK_TRUE(server.fetch().outcome == CallOutcome::Broken);
+}
+
+TEST(HttpTransfers, anAnswerWithALengthThatIsTooLargeIsBroken)
+{
+    RawServer server("HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\nbody");
+    CHECK_TRUE(server.fetch().outcome == CallOutcome::Broken);
+}
+
+TEST(HttpTransfers, anAnswerThatEndsWithItsConnectionIsComplete)
+{
+    RawServer server("HTTP/1.1 200 OK\r\nX-Header: value\r\n\r\nbody");
+    const HttpCallResult result = server.fetch();
+    CHECK_TRUE(result.isSuccess());
+    STRCMP_EQUAL("body", result.body.c_str());
+    UNSIGNED_LONGS_EQUAL(1, result.headers.size());
+}
+
+TEST(HttpTransfers, anAnswerAfterAnInterimHeadIsComplete)
+{
+    RawServer server("HTTP/1.1 102 Processing\r\nX-First: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    const HttpCallResult result = server.fetch();
+    CHECK_TRUE(result.isSuccess());
+    UNSIGNED_LONGS_EQUAL(1, result.headers.size());
+}
+
+TEST(HttpTransfers, trailersAreNotTakenForHeaders)
+{
+    RawServer server("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Trailer: 1\r\n\r\n");
+    const HttpCallResult result = server.fetch();
+    CHECK_TRUE(result.isSuccess());
+    UNSIGNED_LONGS_EQUAL(1, result.headers.size());
+}
+
+TEST(HttpTransfers, aHeadThatDoesNotEndIsBrokenOff)
+{
+    std::string heads;
+    while (heads.size() < 2'000'000)
+        heads += "HTTP/1.1 102 Processing\r\nX-Header: " + std::string(1'000, 'x') + "\r\n\r\n";
+    RawServer server(heads);
+    const HttpCallResult result = server.fetch();
+    CHECK_TRUE(result.outcome == CallOutcome::Broken);
+    STRCMP_EQUAL("the head of the answer is too long", result.error.c_str());
+}
