Treat a stream that ends inside an event as broken off

Cause: an answer may come with neither a length nor chunks and end with its connection. libcurl reports it as complete when the connection is closed in order, and finishStream forwarded the rest of a partial event and ended the answer.

EventScanner tells whether a stream that ends now would end inside an event, for all framings, and for lines that end with a line feed, a carriage return or both. Empty lines and comments after the last event are no event, so whole answers stay whole. A stream without a length or chunks that closes before its first event, or before the first one of a resumed run, is broken off too. Such an attempt fails like one whose connection was reset: it is resumed or run again where that is allowed, else the caller's answer is aborted.

The scanner reads each byte once. The splitter read the whole partial event again with each part, which stalled all other callers when it did not end.

RequestAnswered has the framing, AttemptFinished the size of a partial event, which the log lacked to tell the hypotheses apart.

--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -66,6 +66,19 @@
     return kind == RequestKind::Safe ? "safe" : "unsafe";
 }
 
+const char* framingText(Platform::BodyFraming framing)
+{
+    switch (framing) {
+    case Platform::BodyFraming::Length:
+        return "length";
+    case Platform::BodyFraming::Chunks:
+        return "chunks";
+    case Platform::BodyFraming::ConnectionClose:
+        return "connection-close";
+    }
+    return "";
+}
+
 } // namespace
 
 ProxiedRequest::ProxiedRequest(ProxyContext& context, std::shared_ptr<Web::HttpExchange> exchange)
@@ -407,9 +420,10 @@
         this->onAttemptFailed(RunOutcome::NotRun, ResultCode::UpstreamDown, false);
         return;
     }
-    if (result.outcome == Platform::CallOutcome::Broken || !this->attempt->head) {
+    if (const std::string defect = this->findDefect(result); !defect.empty()) {
         logEvent(Event::AttemptFinished, this->request.id,
-            "upstream=" + this->attempt->assignment.upstreamGeneration + " error=" + result.error);
+            "upstream=" + this->attempt->assignment.upstreamGeneration + " error=" + defect
+                + " partial_event_bytes=" + std::to_string(this->events.partialEvent().size()));
         this->recordCrash(Quarantine::CrashCertainty::Suspected, "broken");
         this->closeAttempt(Observation::Broken);
         this->onAttemptFailed(RunOutcome::MayHaveRun, ResultCode::AnswerIncomplete, true);
@@ -454,6 +468,21 @@
         && this->timeLeft() > 2 * this->route->firstEventTarget;
 }
 
+std::string ProxiedRequest::findDefect(const Platform::HttpCallResult& result) const
+{
+    if (result.outcome != Platform::CallOutcome::Complete)
+        return result.error;
+    if (!this->attempt->isStream)
+        return {};
+    if (this->events.isInsideEvent())
+        return "the stream ended inside an event";
+    // Nothing shows that such a stream was meant to be empty.
+    const bool isEmpty = this->attempt->isPrefilling;
+    if (isEmpty && this->attempt->head->framing == Platform::BodyFraming::ConnectionClose)
+        return "the connection was closed before the first event";
+    return {};
+}
+
 void ProxiedRequest::finishStream()
 {
     const std::string rest = this->events.partialEvent();
@@ -463,10 +492,10 @@
         this->exchange->write(rest);
     this->exchange->finish();
     this->exonerate();
-    this->closeAttempt(Observation::Answered);
     logEvent(Event::RequestAnswered, this->request.id,
-        "events=" + std::to_string(this->events.eventCount())
+        "events=" + std::to_string(this->events.eventCount()) + " framing=" + framingText(this->attempt->head->framing)
             + " took_ms=" + millisecondsText(this->context.clock.now() - this->arrivedAt));
+    this->closeAttempt(Observation::Answered);
     this->finish();
 }
 
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -109,6 +109,8 @@
     void onStreamData(std::string_view data);
     void beginStream();
     void recordFirstEvent();
+    /** Returns why the answer that has arrived is not complete; empty if it is complete. */
+    std::string findDefect(const Platform::HttpCallResult& result) const;
     void finishStream();
     void deliverBufferedAnswer();
     /** Returns whether a failed answer that arrived completely is dropped and the request run again. */
--- a/src/libs/relay/eventsplitter.cpp
+++ b/src/libs/relay/eventsplitter.cpp
@@ -6,20 +6,10 @@
 
 namespace {
 
-// Returns the offset after the empty line that ends the first event; npos if the event is incomplete.
-std::size_t findEventEnd(std::string_view text)
-{
-    const std::size_t lineFeeds = text.find("\n\n");
-    const std::size_t carriageReturns = text.find("\n\r\n");
-    if (lineFeeds == std::string_view::npos && carriageReturns == std::string_view::npos)
-        return std::string_view::npos;
-    return lineFeeds < carriageReturns ? lineFeeds + 2 : carriageReturns + 3;
-}
-
 std::string_view findId(std::string_view event)
 {
     while (!event.empty()) {
-        const std::size_t end = event.find('\n');
+        const std::size_t end = event.find_first_of("\r\n");
         std::string_view line = event.substr(0, end);
         event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
         if (!line.starts_with("id:"))
@@ -27,8 +17,6 @@
         line.remove_prefix(3);
         if (line.starts_with(' '))
             line.remove_prefix(1);
-        if (line.ends_with('\r'))
-            line.remove_suffix(1);
         return line;
     }
     return {};
@@ -47,26 +35,31 @@
 
 std::string EventSplitter::feed(std::string_view data)
 {
-    this->buffer += data;
     std::string complete;
-    std::string_view rest = this->buffer;
-    while (!this->outOfOrder) {
-        const std::size_t end = findEventEnd(rest);
-        if (end == std::string_view::npos)
+    while (!data.empty() && !this->outOfOrder) {
+        const std::size_t end = this->scanner.findEnd(data);
+        this->buffer += data.substr(0, end);
+        if (end == EventScanner::npos)
             break;
-        this->recordEvent(rest.substr(0, end));
+        data.remove_prefix(end);
+        this->recordEvent(this->buffer);
         if (this->outOfOrder)
             break;
-        complete += rest.substr(0, end);
-        rest.remove_prefix(end);
+        complete += this->buffer;
+        this->buffer.clear();
     }
-    this->buffer.erase(0, this->buffer.size() - rest.size());
     return complete;
 }
 
-void EventSplitter::beginResumedStream()
+void EventSplitter::discardPartialEvent()
 {
     this->buffer.clear();
+    this->scanner.reset();
+}
+
+void EventSplitter::beginResumedStream()
+{
+    this->discardPartialEvent();
     this->resumedAfter = parseNumber(this->newestId);
 }
 
--- a/src/libs/relay/eventsplitter.h
+++ b/src/libs/relay/eventsplitter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "eventscanner.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -22,8 +24,11 @@
     /** @return the bytes after the last complete event. */
     const std::string& partialEvent() const { return this->buffer; }
 
+    /** @return whether the stream would break off inside an event if it ended here. */
+    bool isInsideEvent() const { return this->scanner.isInsideEvent(); }
+
     /** Discards the bytes after the last complete event. Called when the rest of that event will not arrive. */
-    void discardPartialEvent() { this->buffer.clear(); }
+    void discardPartialEvent();
 
     /** @return the number of complete events so far. */
     std::uint64_t eventCount() const { return this->events; }
@@ -40,6 +45,7 @@
 private:
     void recordEvent(std::string_view event);
 
+    EventScanner scanner;
     std::string buffer;
     std::string newestId;
     std::uint64_t events = 0;
--- a/tests/auto/relay/tst_eventsplitter.cpp
+++ b/tests/auto/relay/tst_eventsplitter.cpp
@@ -3,6 +3,8 @@
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
+#include <chrono>
+
 using namespace Relay;
 
 TEST_GROUP(EventSplitterTest) {};
@@ -64,3 +66,44 @@
     STRCMP_EQUAL("id:7\r\ndata: a\r\n\r\n", splitter.feed("id:7\r\ndata: a\r\n\r\n").c_str());
     STRCMP_EQUAL("7", splitter.lastEventId().c_str());
 }
+
+TEST(EventSplitterTest, aStreamThatEndsInsideAnEventIsToldFromAWholeOne)
+{
+    for (const std::string lineEnd : { "\n", "\r\n", "\r" }) {
+        const std::string stream
+            = "id: 1" + lineEnd + "data: a" + lineEnd + lineEnd + "id: 2" + lineEnd + "data: b" + lineEnd + lineEnd;
+        const std::size_t firstEnd = stream.find("id: 2");
+        for (std::size_t size = 0; size <= stream.size(); ++size) {
+            EventSplitter splitter;
+            std::string output = splitter.feed(std::string_view(stream).substr(0, size));
+            output += splitter.partialEvent();
+            STRCMP_EQUAL(stream.substr(0, size).c_str(), output.c_str());
+            // A carriage return ends the empty line by itself, and the line feed after it belongs to the same end.
+            const bool isBeforeLineFeed = lineEnd.size() == 2 && (size + 1 == firstEnd || size + 1 == stream.size());
+            const bool isBetweenEvents = size == 0 || size == firstEnd || size == stream.size() || isBeforeLineFeed;
+            CHECK_EQUAL(!isBetweenEvents, splitter.isInsideEvent());
+        }
+    }
+}
+
+TEST(EventSplitterTest, emptyLinesAndCommentsBetweenEventsAreNotPartsOfAnEvent)
+{
+    EventSplitter splitter;
+    splitter.feed("id: 1\ndata: a\n\n\n: a comment\n");
+    CHECK_FALSE(splitter.isInsideEvent());
+    splitter.feed(": another");
+    CHECK_TRUE(splitter.isInsideEvent());
+}
+
+TEST(EventSplitterTest, readsALongEventInTimeThatGrowsWithItsLength)
+{
+    const std::string part(16 * 1024, 'x');
+    EventSplitter splitter;
+    splitter.feed("data: ");
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < 2'048; ++i)
+        splitter.feed(part);
+    // Reading the whole event again with each part would take minutes.
+    CHECK_TRUE(std::chrono::steady_clock::now() - begin < std::chrono::seconds(5));
+    CHECK_TRUE(splitter.isInsideEvent());
+}
