Bound what the gateway holds of an answer, and read no faster than its caller

Causes: the body of a call, and a partial event, grew without limit; parts of a stream were queued for a caller who read them more slowly or not at all; the body of a rejection was collected although it is never forwarded; a transfer delivered whatever libcurl could read at once, before any other work.

- AnswerMemory: the answers of a process share a quarter of the memory that its settings name, and an answer may hold as much as is still free beside all of them.
Beyond it the attempt fails with AnswerTooLarge (3007).
- A stream is read on only after its caller received what was sent, and not given up as silent meanwhile.
- A rejection ends its attempt by its head: at its end, after 16 KB of body, in silence, or when its connection breaks.
It no longer counts as run then.
- A transfer has at most 64 KB under way to its handler.
Answers that are fetched whole, such as the store's, are broken off at 16 MB.

--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -42,6 +42,10 @@
 // The interval at which crash notices are compared with the list of upstreams.
 constexpr Duration crashConfirmationInterval = std::chrono::milliseconds(500);
 
+// The part of the process's memory for answers. The buffer of a growing answer takes up to three times its size while
+// it is enlarged, and connections and the store cache need memory too.
+constexpr std::size_t answerMemoryDivisor = 4;
+
 Wire::SuspectNotice makeSuspectNotice(const std::vector<CrashNotice>& notices)
 {
     Wire::SuspectNotice message;
@@ -67,6 +71,7 @@
     , ledger(this->clock)
     , retryBudget(makeRetryLimit(settings.node))
     , suspects(this->clock, crashLimit)
+    , answerMemory(settings.node.memoryBytes / answerMemoryDivisor)
     , peers(context, this->clock, { settings.node.name, settings.node.failureDomain, settings.node.processorCores },
           settings.node.peerEndpoint.text(),
           { [this](const Wire::PeerLoad& load) {
@@ -107,7 +112,7 @@
     , dispatcher(this->clock, this->storeSynchronizer.directory(), this->health, this->ledger,
           settings.node.regionByFailureDomain, settings.node.failureDomain, settings.node.name)
     , proxyContext { this->clock, this->metrics, this->transfers, this->storeSynchronizer, this->dispatcher,
-        this->ledger, this->retryBudget, this->health, this->suspects, this->memoryLeases,
+        this->ledger, this->retryBudget, this->health, this->suspects, this->answerMemory, this->memoryLeases,
         [this](bool isAdded) { this->onLoadChanged(isAdded); },
         [this](const std::vector<CrashNotice>& notices) { this->onOwnSuspects(notices); },
         [this](const CrashNotice& notice) {
@@ -157,6 +162,7 @@
     this->settings = newSettings;
     this->storeSynchronizer.setSettings(newSettings);
     this->retryBudget.setLimit(makeRetryLimit(newSettings.node));
+    this->answerMemory.setCapacity(newSettings.node.memoryBytes / answerMemoryDivisor);
     this->applyLimits();
 }
 
@@ -331,6 +337,7 @@
     this->metrics.setGauge("bluebell_requests_under_way", "", static_cast<double>(this->requests.size()));
     this->metrics.setGauge("bluebell_prompts_waiting", "", static_cast<double>(this->dispatcher.queuedPromptCount()));
     this->metrics.setGauge("bluebell_upstreams", "", static_cast<double>(this->storeSynchronizer.directory().size()));
+    this->metrics.setGauge("bluebell_answer_memory_bytes", "", static_cast<double>(this->answerMemory.heldBytes()));
     this->metrics.setGauge("bluebell_suspects", "", static_cast<double>(this->suspects.size()));
     this->metrics.setGauge("bluebell_gateways", "", static_cast<double>(this->peers.memberCount()));
     return this->metrics.render();
--- a/src/apps/gateway/gatewaycore.h
+++ b/src/apps/gateway/gatewaycore.h
@@ -76,6 +76,7 @@
     Relay::UpstreamHealth health;
     Relay::LocalRetryBudget retryBudget;
     Quarantine::SuspectRegistry suspects;
+    Relay::AnswerMemory answerMemory;
     PeerConnections peers;
     StoreSynchronizer storeSynchronizer;
     SuspectStore suspectStore;
--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -40,6 +40,10 @@
 // stays queued while the event can still come within this time; with a longer target, it is refused at once.
 constexpr Duration minimumCallerWait = std::chrono::seconds(2);
 constexpr Duration quarantineRetryAfter = std::chrono::seconds(10);
+// No more of a stream is read while its caller has this many bytes to receive.
+constexpr std::size_t maximumUnsentBytes = 128 * 1024;
+// A rejection's body is read to its end, so that the connection can be reused, unless it is longer.
+constexpr std::size_t maximumRejectionBytes = 16 * 1024;
 constexpr int firstServerErrorStatus = 500;
 constexpr int firstErrorStatus = 300;
 constexpr int statusOk = 200;
@@ -241,6 +245,7 @@
     ++this->currentAttemptNumber;
     this->attempt.emplace();
     this->attempt->assignment = assignment;
+    this->attempt->memory = std::make_shared<Relay::AnswerMemory::Share>(this->context.answerMemory);
     this->attempt->sentAt = this->context.clock.now();
     this->attempt->lastDataAt = this->attempt->sentAt;
     // Crashes may have become known while the request waited, or by its own earlier attempts.
@@ -361,10 +366,30 @@
     if (!this->attempt || attemptNumber != this->currentAttemptNumber)
         return;
     this->attempt->lastDataAt = this->context.clock.now();
-    if (this->attempt->isStream)
+    if (this->attempt->isRejected()) {
+        this->attempt->rejectionBytes += data.size();
+        if (this->attempt->rejectionBytes > maximumRejectionBytes)
+            this->onRejected();
+        return;
+    }
+    if (this->attempt->isStream) {
         this->onStreamData(data);
-    else
-        this->attempt->body += data;
+        return;
+    }
+    this->attempt->body += data;
+    this->attempt->memory->resize(this->attempt->body.size());
+    if (!this->attempt->memory->isWithinLimit())
+        this->onAnswerTooLarge();
+}
+
+void ProxiedRequest::onAnswerTooLarge()
+{
+    logEvent(Event::AttemptFinished, this->request.id,
+        "upstream=" + this->attempt->assignment.upstreamGeneration
+            + " error=the answer is too large limit_bytes=" + std::to_string(this->attempt->memory->limit())
+            + " held_by_all_bytes=" + std::to_string(this->context.answerMemory.heldBytes()));
+    this->recordCrash(Quarantine::CrashCertainty::Possible, "answer too large");
+    this->onAttemptFailed(RunOutcome::MayHaveRun, ResultCode::AnswerTooLarge, true);
 }
 
 void ProxiedRequest::onStreamData(std::string_view data)
@@ -375,6 +400,11 @@
         this->onAttemptFailed(RunOutcome::MayHaveRun, ResultCode::AnswerIncomplete, true);
         return;
     }
+    this->attempt->memory->resize(this->events.partialEvent().size());
+    if (!this->attempt->memory->isWithinLimit()) {
+        this->onAnswerTooLarge();
+        return;
+    }
     if (completeEvents.empty())
         return;
     this->recordFirstEvent();
@@ -385,6 +415,27 @@
     }
     this->lastDeliveredAt = this->context.clock.now();
     this->exchange->write(std::move(completeEvents));
+    this->pauseForSlowCaller();
+}
+
+void ProxiedRequest::pauseForSlowCaller()
+{
+    const std::size_t unsentBytes = this->exchange->unsentBytes();
+    this->attempt->memory->resize(this->events.partialEvent().size() + unsentBytes);
+    const bool mustWait = unsentBytes >= maximumUnsentBytes || !this->attempt->memory->isWithinLimit();
+    if (!mustWait || unsentBytes == 0)
+        return;
+    this->attempt->isPaused = true;
+    this->context.transfers.pause(this->attempt->call);
+}
+
+void ProxiedRequest::onSentToCaller()
+{
+    if (!this->attempt || !this->attempt->isPaused || this->exchange->unsentBytes() >= maximumUnsentBytes / 2)
+        return;
+    this->attempt->isPaused = false;
+    this->attempt->lastDataAt = this->context.clock.now();
+    this->context.transfers.resume(this->attempt->call);
 }
 
 void ProxiedRequest::beginStream()
@@ -392,6 +443,10 @@
     this->hasStreamBegun = true;
     Web::HttpReply head = PlatformAdapter::encodeAnswerHead(*this->attempt->head);
     head.closesConnection = this->context.isShuttingDown();
+    this->exchange->setSentHandler([weak = this->weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->onSentToCaller();
+    });
     this->exchange->beginStream(head);
 }
 
@@ -420,6 +475,10 @@
         this->onAttemptFailed(RunOutcome::NotRun, ResultCode::UpstreamDown, false);
         return;
     }
+    if (this->attempt->isRejected()) {
+        this->onRejected();
+        return;
+    }
     if (const std::string defect = this->findDefect(result); !defect.empty()) {
         logEvent(Event::AttemptFinished, this->request.id,
             "upstream=" + this->attempt->assignment.upstreamGeneration + " error=" + defect
@@ -429,30 +488,6 @@
         this->onAttemptFailed(RunOutcome::MayHaveRun, ResultCode::AnswerIncomplete, true);
         return;
     }
-    const auto& headers = this->attempt->headers;
-    if (headers.isNotExecuted) {
-        this->withdrawAnnouncement();
-        const std::string generation = this->attempt->assignment.upstreamGeneration;
-        logEvent(Event::AttemptRefused, this->request.id,
-            "upstream=" + this->attempt->assignment.upstreamGeneration
-                + " status=" + std::to_string(this->attempt->head->status) + " at=" + headers.faultyAddress);
-        if (headers.isMisaddressed) {
-            this->context.storeSynchronizer.directory().markMisaddressed(this->attempt->assignment.upstream);
-            logEvent(Event::UpstreamMisaddressed, this->request.id,
-                "upstream=" + this->attempt->assignment.upstreamGeneration);
-        }
-        const std::string faultyAddress = headers.faultyAddress;
-        const bool isHelperFault
-            = !faultyAddress.empty() && faultyAddress != this->attempt->assignment.address && !headers.isMisaddressed;
-        if (isHelperFault)
-            this->recordHelperFailure(faultyAddress);
-        this->closeAttempt(headers.isMisaddressed ? Observation::Unreachable : Observation::Answered);
-        // The helper was at fault, so the upstream itself may receive the request again.
-        if (isHelperFault)
-            this->criteria.triedGenerations.erase(generation);
-        this->onAttemptFailed(RunOutcome::NotRun, ResultCode::UpstreamRejected, true);
-        return;
-    }
     if (this->attempt->isStream)
         this->finishStream();
     else if (this->shouldRetryFailedAnswer())
@@ -461,6 +496,30 @@
         this->deliverBufferedAnswer();
 }
 
+void ProxiedRequest::onRejected()
+{
+    this->withdrawAnnouncement();
+    const PlatformAdapter::AnswerHeaders headers = this->attempt->headers;
+    const std::string generation = this->attempt->assignment.upstreamGeneration;
+    logEvent(Event::AttemptRefused, this->request.id,
+        "upstream=" + generation + " status=" + std::to_string(this->attempt->head->status)
+            + " at=" + headers.faultyAddress);
+    if (headers.isMisaddressed) {
+        this->context.storeSynchronizer.directory().markMisaddressed(this->attempt->assignment.upstream);
+        logEvent(Event::UpstreamMisaddressed, this->request.id, "upstream=" + generation);
+    }
+    const std::string& faultyAddress = headers.faultyAddress;
+    const bool isHelperFault
+        = !faultyAddress.empty() && faultyAddress != this->attempt->assignment.address && !headers.isMisaddressed;
+    if (isHelperFault)
+        this->recordHelperFailure(faultyAddress);
+    this->closeAttempt(headers.isMisaddressed ? Observation::Unreachable : Observation::Answered);
+    // The helper was at fault, so the upstream itself may receive the request again.
+    if (isHelperFault)
+        this->criteria.triedGenerations.erase(generation);
+    this->onAttemptFailed(RunOutcome::NotRun, ResultCode::UpstreamRejected, true);
+}
+
 bool ProxiedRequest::shouldRetryFailedAnswer() const
 {
     const bool isFailure = this->attempt->head->status >= firstServerErrorStatus || !this->attempt->headers.isSigned;
@@ -513,6 +572,7 @@
     }
     Web::HttpReply reply = PlatformAdapter::encodeAnswerHead(*this->attempt->head);
     reply.body = std::move(this->attempt->body);
+    reply.attachment = this->attempt->memory;
     reply.closesConnection = this->context.isShuttingDown();
     this->exchange->respond(std::move(reply));
     this->exonerate();
@@ -667,8 +727,9 @@
     if (this->hasEnded || !this->route)
         return;
     if (now >= this->deadline) {
-        const bool mayHaveRun = this->attempt || this->runs > 0;
-        if (this->attempt) {
+        const bool isRunning = this->attempt && !this->attempt->isRejected();
+        const bool mayHaveRun = isRunning || this->runs > 0;
+        if (isRunning) {
             this->recordUnansweredAttempt("deadline");
             ++this->runs;
             this->closeAttempt(Observation::Failed);
@@ -676,8 +737,12 @@
         this->fail(mayHaveRun ? ResultCode::DeadlineExceeded : ResultCode::DeadlineUnreachable, defaultRetryAfter);
         return;
     }
-    if (!this->attempt || now - this->attempt->lastDataAt < this->inactivityTimeout())
+    if (!this->attempt || this->attempt->isPaused || now - this->attempt->lastDataAt < this->inactivityTimeout())
         return;
+    if (this->attempt->isRejected()) {
+        this->onRejected();
+        return;
+    }
     // The upstream may still continue the answer, so silence ends the attempt only if the request can fail over.
     const FailoverAction action = Relay::chooseFailoverAction(this->progressAfter(RunOutcome::MayHaveRun));
     if (action == FailoverAction::Fail || !this->context.retryBudget.trySpend(this->criteria.service, now))
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -8,6 +8,7 @@
 #include <foundation/metrics.h>
 #include <platform/httptransfers.h>
 #include <quarantine/suspectregistry.h>
+#include <relay/answermemory.h>
 #include <relay/eventsplitter.h>
 #include <relay/failoveraction.h>
 #include <relay/localretrybudget.h>
@@ -37,6 +38,7 @@
     Relay::LocalRetryBudget& retryBudget;
     Relay::UpstreamHealth& health;
     Quarantine::SuspectRegistry& suspects;
+    Relay::AnswerMemory& answerMemory;
     MemoryLeaseManager<PlatformAdapter::EngineOrders>& memoryLeases;
     /** Called after a change of the ledger or of the health of upstreams; added load is published at once. */
     std::function<void(bool isAdded)> onLoadChanged;
@@ -73,6 +75,15 @@
     bool isStream = false;
     /** The body received so far, if the answer is not a stream. */
     std::string body;
+    /** What the answer holds: its body, or the bytes of a stream that the caller has not received yet. */
+    std::shared_ptr<Relay::AnswerMemory::Share> memory;
+    /** Whether no more of a stream is read until its caller has received what was sent. */
+    bool isPaused = false;
+    /** The size of the body of a rejection, which is not forwarded. */
+    std::size_t rejectionBytes = 0;
+
+    /** Returns whether the upstream has stated that it does not run the request. */
+    bool isRejected() const { return this->headers.isNotExecuted; }
 };
 
 /**
@@ -107,6 +118,13 @@
     void onAnswerData(std::uint64_t attemptNumber, std::string_view data);
     void onCallEnded(std::uint64_t attemptNumber, const Platform::HttpCallResult& result);
     void onStreamData(std::string_view data);
+    /** Stops reading a stream whose caller receives it more slowly than it arrives. */
+    void pauseForSlowCaller();
+    /** Continues to read a stream after its caller has received a part of it. */
+    void onSentToCaller();
+    void onAnswerTooLarge();
+    /** Ends an attempt that the upstream has rejected without running it. */
+    void onRejected();
     void beginStream();
     void recordFirstEvent();
     /** Returns why the answer that has arrived is not complete; empty if it is complete. */
--- a/src/libs/foundation/resultcode.cpp
+++ b/src/libs/foundation/resultcode.cpp
@@ -59,6 +59,8 @@
         "Another attempt holds the claim for this idempotency key and has no answer yet." },
     { ResultCode::CallerGone, "CallerGone", 499, "The caller closed its connection." },
     { ResultCode::UpstreamCrashed, "UpstreamCrashed", 502, "The upstream crashed while it ran the request." },
+    { ResultCode::AnswerTooLarge, "AnswerTooLarge", 502,
+        "The answer is larger than what the process has memory for, or does not end." },
     { ResultCode::WrongToken, "WrongToken", 403, "The peer presented a wrong authentication token." },
     { ResultCode::ProtocolMismatch, "ProtocolMismatch", 400, "The peer uses another protocol version." },
     { ResultCode::MalformedMessage, "MalformedMessage", 400, "A message could not be decoded." },
--- a/src/libs/foundation/resultcode.h
+++ b/src/libs/foundation/resultcode.h
@@ -49,6 +49,7 @@
     ClaimedElsewhere = 3004,
     CallerGone = 3005,
     UpstreamCrashed = 3006,
+    AnswerTooLarge = 3007,
     WrongToken = 4000,
     ProtocolMismatch = 4001,
     MalformedMessage = 4002,
--- a/src/libs/platform/httptransfers.cpp
+++ b/src/libs/platform/httptransfers.cpp
@@ -20,6 +20,9 @@
 // All heads of an answer together, the interim ones (1xx) included. Servers commonly limit a head to 8 or 16 KB.
 constexpr std::size_t maximumHeadBytes = 128 * 1024;
 constexpr int firstFinalStatus = 200;
+// No more is read of an answer while this much of it waits for its handler, so that a fast answer neither fills the
+// memory nor holds up the other calls for long.
+constexpr std::size_t maximumUndeliveredBytes = 64 * 1024;
 
 struct CurlDeleter {
     void operator()(CURL* easy) const { curl_easy_cleanup(easy); }
@@ -44,6 +47,12 @@
     bool isHeadComplete = false;
     /** Why this process ended the call; empty if it did not. */
     std::string_view abortReason;
+    std::size_t undeliveredBytes = 0;
+    bool isPaused = false;
+    /** Whether libcurl holds a part of the body back until the call is continued. */
+    bool isHeldBack = false;
+    /** Delivers a part of the body to the handler. */
+    std::function<void(std::string part)> deliver;
     /** Whether a connection was established on which libcurl began to send the call. */
     bool wasSent = false;
 };
@@ -147,12 +156,19 @@
 {
     auto& transfer = *static_cast<Transfer*>(user);
     const std::size_t bytes = size * count;
-    if (!transfer.handlers.onData) {
-        transfer.result.body.append(data, bytes);
+    if (transfer.deliver) {
+        transfer.isHeldBack = transfer.isPaused || transfer.undeliveredBytes >= maximumUndeliveredBytes;
+        if (transfer.isHeldBack)
+            return CURL_WRITEFUNC_PAUSE;
+        transfer.undeliveredBytes += bytes;
+        transfer.deliver(std::string(data, bytes));
         return bytes;
     }
-    asio::post(*transfer.context,
-        [onData = transfer.handlers.onData, part = std::string(data, bytes)]() mutable { onData(std::move(part)); });
+    if (transfer.result.body.size() + bytes > transfer.call.maximumBodyBytes) {
+        transfer.abortReason = "the body of the answer is too long";
+        return 0;
+    }
+    transfer.result.body.append(data, bytes);
     return bytes;
 }
 
@@ -313,7 +329,7 @@
     bool isWaitingToWrite = false;
 };
 
-struct HttpTransfers::State {
+struct HttpTransfers::State : std::enable_shared_from_this<HttpTransfers::State> {
     explicit State(asio::io_context& context)
         : context(context)
         , multi(curl_multi_init())
@@ -343,6 +359,8 @@
         transfer->context = &this->context;
         transfer->id = ++this->lastId;
         transfer->easy = this->acquireHandle();
+        if (transfer->handlers.onData)
+            this->setDelivery(*transfer);
         setOptions(*transfer);
         CURL* const easy = transfer->easy.get();
         this->active[transfer->id] = std::move(transfer);
@@ -350,6 +368,45 @@
         return this->lastId;
     }
 
+    // The handlers run later, since they may cancel the call, which libcurl does not allow in its callbacks.
+    void setDelivery(Transfer& transfer)
+    {
+        transfer.deliver = [this, id = transfer.id, onData = transfer.handlers.onData](std::string part) {
+            asio::post(this->context, [weak = this->weak_from_this(), id, onData, part = std::move(part)]() mutable {
+                const std::size_t bytes = part.size();
+                onData(std::move(part));
+                if (const auto self = weak.lock())
+                    self->onDelivered(id, bytes);
+            });
+        };
+    }
+
+    void onDelivered(CallId id, std::size_t bytes)
+    {
+        const auto found = this->active.find(id);
+        if (found == this->active.end())
+            return;
+        found->second->undeliveredBytes -= bytes;
+        this->continueIfPossible(*found->second);
+    }
+
+    void setPaused(CallId id, bool isPaused)
+    {
+        const auto found = this->active.find(id);
+        if (found == this->active.end())
+            return;
+        found->second->isPaused = isPaused;
+        this->continueIfPossible(*found->second);
+    }
+
+    void continueIfPossible(Transfer& transfer)
+    {
+        if (!transfer.isHeldBack || transfer.isPaused || transfer.undeliveredBytes > 0)
+            return;
+        transfer.isHeldBack = false;
+        curl_easy_pause(transfer.easy.get(), CURLPAUSE_CONT);
+    }
+
     void cancel(CallId id)
     {
         const auto found = this->active.find(id);
@@ -476,7 +533,7 @@
 };
 
 HttpTransfers::HttpTransfers(asio::io_context& context)
-    : state(std::make_unique<State>(context))
+    : state(std::make_shared<State>(context))
 {
 }
 
@@ -494,4 +551,8 @@
 
 void HttpTransfers::cancel(CallId call) { this->state->cancel(call); }
 
+void HttpTransfers::pause(CallId call) { this->state->setPaused(call, true); }
+
+void HttpTransfers::resume(CallId call) { this->state->setPaused(call, false); }
+
 } // namespace Platform
--- a/src/libs/platform/httptransfers.h
+++ b/src/libs/platform/httptransfers.h
@@ -33,6 +33,9 @@
     std::string value;
 };
 
+/** Larger than any answer of a store or of a log, which limit a call to a few MB. */
+constexpr std::size_t defaultMaximumBodyBytes = 16 * 1024 * 1024;
+
 struct HttpCall {
     std::string method = "GET";
     std::string url;
@@ -47,6 +50,8 @@
     std::chrono::seconds maximumIdleAge { 118 };
     /** The time after which a connection counts as lost if sent bytes are not acknowledged; 0 for no limit. */
     std::chrono::milliseconds unacknowledgedTimeout { 0 };
+    /** A call that is answered as a whole is broken off if the body of its answer is longer. */
+    std::size_t maximumBodyBytes = defaultMaximumBodyBytes;
 };
 
 /** The outcome of a call. */
@@ -128,9 +133,16 @@
     /** Cancels a call; ignores the ids of finished calls. */
     void cancel(CallId call);
 
+    /**
+     * Stops reading the answer of a call until resume(). Parts that were read already are still delivered. Ignores the
+     * ids of finished calls.
+     */
+    void pause(CallId call);
+    void resume(CallId call);
+
 private:
     struct State;
-    std::unique_ptr<State> state;
+    std::shared_ptr<State> state;
 };
 
 } // namespace Platform
--- a/src/libs/web/httprequest.h
+++ b/src/libs/web/httprequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,6 +40,8 @@
     std::string body;
     /** Whether the server closes the connection after the response. */
     bool closesConnection = false;
+    /** Kept until the response was sent or its connection closed, for whoever accounts for the memory of the body. */
+    std::shared_ptr<void> attachment {};
 };
 
 } // namespace Web
--- a/src/libs/web/httpserver.cpp
+++ b/src/libs/web/httpserver.cpp
@@ -52,6 +52,37 @@
     std::map<restinio::connection_id_t, std::weak_ptr<RestinioExchange>> exchanges;
 };
 
+// Counts the bytes of a chunked response that wait to be sent. Outlives the exchange while a write is in progress.
+class SendProgress {
+public:
+    void begin(std::size_t bytes) { this->unsent.fetch_add(bytes, std::memory_order_relaxed); }
+
+    void end(std::size_t bytes)
+    {
+        this->unsent.fetch_sub(bytes, std::memory_order_relaxed);
+        std::function<void()> handler;
+        {
+            const std::lock_guard lock(this->mutex);
+            handler = this->sentHandler;
+        }
+        if (handler)
+            handler();
+    }
+
+    void setHandler(std::function<void()> handler)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->sentHandler = std::move(handler);
+    }
+
+    std::size_t unsentBytes() const { return this->unsent.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<std::size_t> unsent { 0 };
+    std::mutex mutex;
+    std::function<void()> sentHandler;
+};
+
 class RestinioExchange final : public HttpExchange {
 public:
     RestinioExchange(restinio::request_handle_t source, std::shared_ptr<ExchangeRegistry> registry)
@@ -79,7 +110,7 @@
         for (HttpHeader& header : reply.headers)
             response.append_header(std::move(header.name), std::move(header.value));
         response.set_body(std::move(reply.body));
-        response.done();
+        response.done([attachment = std::move(reply.attachment)](const auto&) {});
     }
 
     void beginStream(const HttpReply& head) override
@@ -102,10 +133,16 @@
         const std::lock_guard lock(this->streamMutex);
         if (!this->stream || part.empty())
             return;
+        const std::size_t bytes = part.size();
+        this->progress->begin(bytes);
         this->stream->append_chunk(std::move(part));
-        this->stream->flush();
+        this->stream->flush([sending = this->progress, bytes](const auto&) { sending->end(bytes); });
     }
 
+    std::size_t unsentBytes() const override { return this->progress->unsentBytes(); }
+
+    void setSentHandler(std::function<void()> handler) override { this->progress->setHandler(std::move(handler)); }
+
     void finish() override
     {
         this->unregister();
@@ -174,6 +211,7 @@
     // Stops the handling of disconnects; called before the response is completed or aborted.
     void unregister()
     {
+        this->progress->setHandler(nullptr);
         this->registry->remove(this->source->connection_id());
         const std::lock_guard lock(this->disconnectMutex);
         this->disconnectHandler = nullptr;
@@ -184,6 +222,7 @@
     std::shared_ptr<ExchangeRegistry> registry;
     HttpRequest parsed;
     std::atomic<bool> isAnswered { false };
+    std::shared_ptr<SendProgress> progress = std::make_shared<SendProgress>();
     std::mutex streamMutex;
     std::optional<restinio::response_builder_t<restinio::chunked_output_t>> stream;
     std::mutex disconnectMutex;
--- a/src/libs/web/httpserver.h
+++ b/src/libs/web/httpserver.h
@@ -4,6 +4,7 @@
 
 #include <foundation/resultcode.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -32,6 +33,12 @@
     /** Sends a part of the body of a chunked response. */
     virtual void write(std::string part) = 0;
 
+    /** Returns the number of bytes that were passed to write() and have not been sent yet. */
+    virtual std::size_t unsentBytes() const = 0;
+
+    /** Sets a handler that is called, on any thread, after a part of a chunked response was sent. */
+    virtual void setSentHandler(std::function<void()> handler) = 0;
+
     /** Ends a chunked response. */
     virtual void finish() = 0;
 
--- a/tests/auto/platform/tst_httptransfers.cpp
+++ b/tests/auto/platform/tst_httptransfers.cpp
@@ -238,3 +238,46 @@
     CHECK_TRUE(result.outcome == CallOutcome::Broken);
     STRCMP_EQUAL("the head of the answer is too long", result.error.c_str());
 }
+
+TEST(HttpTransfers, aBodyThatDoesNotEndIsBrokenOffAtItsLimit)
+{
+    RawServer server("HTTP/1.1 200 OK\r\n\r\n" + std::string(2'000'000, 'x'));
+    const HttpCallResult result = server.run([&server](HttpCall call, ResultHandler onDone) {
+        call.maximumBodyBytes = 100'000;
+        server.transfers.fetch(std::move(call), std::move(onDone));
+    });
+    CHECK_TRUE(result.outcome == CallOutcome::Broken);
+    CHECK_TRUE(result.body.size() <= 100'000);
+}
+
+TEST(HttpTransfers, aPausedCallReadsNoMoreAndContinuesWithoutLoss)
+{
+    constexpr std::size_t bodyBytes = 5'000'000;
+    RawServer server(
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'x'));
+    std::size_t received = 0;
+    CallId id = 0;
+    std::optional<HttpCallResult> result;
+    id = server.transfers.stream(server.makeCall(),
+        { [](const HttpAnswerHead&) {},
+            [&](const std::string& data) {
+                received += data.size();
+                server.transfers.pause(id);
+            },
+            [&](HttpCallResult ended) { result = std::move(ended); } });
+    const auto runFor = [&server](std::chrono::milliseconds length) {
+        const auto end = std::chrono::steady_clock::now() + length;
+        while (std::chrono::steady_clock::now() < end)
+            server.context.run_one_for(std::chrono::milliseconds(5));
+    };
+    runFor(std::chrono::milliseconds(300));
+    CHECK_TRUE(received > 0 && received < 1'000'000);
+    CHECK_FALSE(result.has_value());
+    const auto deadline = std::chrono::steady_clock::now() + testTimeout;
+    while (!result && std::chrono::steady_clock::now() < deadline) {
+        server.transfers.resume(id);
+        runFor(std::chrono::milliseconds(1));
+    }
+    CHECK_TRUE(result && result->isSuccess());
+    UNSIGNED_LONGS_EQUAL(bodyBytes, received);
+}
