Give up a listing of the store whose pages do not end

The load tool breaks off an answer that is longer than that, which it collected without limit.

aListingWhosePagesDoNotEndIsGivenUp is new; before, the loop had no end, so the test would have stopped after its hundredth page.

--- a/src/tools/load/loadgenerator.cpp
+++ b/src/tools/load/loadgenerator.cpp
@@ -72,10 +72,13 @@
             this->records[index].firstByteMs = this->nowMs() - this->records[index].sentAtMs;
         answer.hasFirstByte = true;
         answer.data += data;
+        if (answer.data.size() > Platform::defaultMaximumBodyBytes)
+            this->transfers.cancel(answer.call);
     };
     handlers.onEnd = [this, index](const Platform::HttpCallResult& result) { this->onEnd(index, result); };
     ++this->requestsInFlight;
     const Platform::CallId id = this->transfers.stream(std::move(call), std::move(handlers));
+    this->answers[index].call = id;
     if (request.abandonAfterMs == 0)
         return;
     const auto abandonTimer
--- a/src/tools/load/loadgenerator.h
+++ b/src/tools/load/loadgenerator.h
@@ -58,6 +58,7 @@
 
 private:
     struct PartialAnswer {
+        Platform::CallId call = 0;
         std::string data;
         bool hasFirstByte = false;
     };
--- a/tests/auto/platformadapter/tst_storeclient.cpp
+++ b/tests/auto/platformadapter/tst_storeclient.cpp
@@ -1,8 +1,15 @@
+#include "../unusedport.h"
 #include "platform/storeclient.h"
 
+#include <web/httpserver.h>
+
 #include <CppUTest/TestHarness.h>
+#include <asio.hpp>
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
+#include <optional>
+
 using namespace PlatformAdapter;
 
 namespace {
@@ -61,3 +68,26 @@
         RC_ASSERT(!range || range->records.size() <= range->end);
     }));
 }
+
+TEST(StoreClientTest, aListingWhosePagesDoNotEndIsGivenUp)
+{
+    asio::io_context context { 1 };
+    const std::uint16_t port = unusedPort();
+    int pages = 0;
+    Web::HttpServer server(
+        context, { "127.0.0.1", port, 1'000 }, [&pages](const std::shared_ptr<Web::HttpExchange>& exchange) {
+            const nlohmann::json item = { { "key", "k" + std::to_string(++pages) }, { "value", "" }, { "offset", 1 },
+                { "filler", std::string(1'000'000, 'x') } };
+            const nlohmann::json page = { { "items", { item } }, { "has_more", true }, { "end_offset", 2 } };
+            exchange->respond({ 200, "application/json", {}, page.dump(), false });
+        });
+    server.start([](const std::string&) {});
+    Platform::HttpTransfers transfers(context);
+    StoreClient client(transfers, "127.0.0.1:" + std::to_string(port));
+    std::optional<bool> isRead;
+    client.readListing(
+        "keyed.op", [&isRead](const Foundation::Result<RecordListing>& listing) { isRead = listing.has_value(); });
+    while (!isRead && pages < 100)
+        context.run_one_for(std::chrono::milliseconds(100));
+    CHECK_TRUE(isRead == false);
+}
