Let agents tell streams that broke off, and bound what agents and entries hold

Callers got streams that ended inside an event as complete answers, and an engine whose answer did not end filled the memory of its agent and of the entries.

Cause: AgentCore::onCallEnd took every transfer that libcurl calls complete for a whole answer. AnswerRecorder kept whatever came, since a lost entry may ask for it again, and an entry buffered it for its caller.

- AnswerRecorder reads event streams with EventScanner; one that ends inside an event, or without a length or chunks before its first one, is interrupted like one whose connection broke, so it is resumed at the engine by byte.
AttemptInterrupted (414) logs it.

Left: there is no flow control between agents and entries, so an entry ends the stream of a caller who reads too slowly instead of waiting for it.

--- a/src/apps/agent/agentcore.cpp
+++ b/src/apps/agent/agentcore.cpp
@@ -78,6 +78,7 @@
     , instanceList(transfers, this->settings.process.instanceListUrl)
     , upstream(transfers, this->settings.upstreamUrl)
     , suspects(clock)
+    , answerMemory(this->settings.process.answerMemoryBytes)
     , attempts(clock)
     , sessions(clock, this->settings.process.token, this->settings.process.connectionTimeout)
     , endpoint(context,
@@ -442,7 +443,7 @@
 
 void AgentCore::sendStoredAnswer(const AttemptPtr& attempt, const Idempotency::StoredAnswer& stored)
 {
-    attempt->answer.setHead(stored.status, stored.contentType);
+    attempt->answer.setHead({ stored.status, stored.contentType, {}, Platform::BodyFraming::Length });
     attempt->answer.add(stored.body);
     this->sendAnswer(attempt);
     if (attempt->connection != 0)
@@ -463,6 +464,7 @@
         return;
     }
     attempt->phase = AttemptPhase::Running;
+    attempt->answerMemory = std::make_shared<Relay::AnswerMemory::Share>(this->answerMemory);
     this->metrics.counter("bluebell_handed_over_total").fetch_add(1);
     Foundation::logEvent(Event::AttemptStarted, attempt->offer.request, attempt->id());
     const bool canResume = this->isEngine;
@@ -474,22 +476,20 @@
 Platform::StreamHandlers AgentCore::makeStreamHandlers(const AttemptPtr& attempt)
 {
     Platform::StreamHandlers handlers;
-    handlers.onHead = [this, attempt](const Platform::HttpAnswerHead& head) {
-        this->onAnswerHead(attempt, head.status, head.contentType);
-    };
+    handlers.onHead = [this, attempt](const Platform::HttpAnswerHead& head) { this->onAnswerHead(attempt, head); };
     handlers.onData = [this, attempt](const std::string& data) { this->onAnswerData(attempt, data); };
     handlers.onEnd = [this, attempt](const Platform::HttpCallResult& result) { this->onCallEnd(attempt, result); };
     return handlers;
 }
 
-void AgentCore::onAnswerHead(const AttemptPtr& attempt, int status, const std::string& contentType)
+void AgentCore::onAnswerHead(const AttemptPtr& attempt, const Platform::HttpAnswerHead& head)
 {
     if (!this->isRunning(attempt))
         return;
     // An error response to a resume request is not part of the answer and must not be appended to it.
-    attempt->resumeRefused = attempt->resumes > 0 && status >= firstClientErrorStatus;
+    attempt->resumeRefused = attempt->resumes > 0 && head.status >= firstClientErrorStatus;
     if (!attempt->resumeRefused)
-        attempt->answer.setHead(status, contentType);
+        attempt->answer.setHead(head);
 }
 
 void AgentCore::onAnswerData(const AttemptPtr& attempt, std::string_view data)
@@ -497,6 +497,15 @@
     if (!this->isRunning(attempt) || attempt->resumeRefused)
         return;
     attempt->answer.add(data);
+    attempt->answerMemory->resize(attempt->answer.bytes());
+    if (!attempt->answerMemory->isWithinLimit() && isEnabled(Mechanism::AnswerMemory)) {
+        Foundation::logEvent(Event::AttemptFinished, attempt->offer.request,
+            attempt->id() + " error=the answer is too large bytes=" + std::to_string(attempt->answer.bytes())
+                + " held_by_all_bytes=" + std::to_string(this->answerMemory.heldBytes()));
+        this->abortDispatched(attempt, ResultCode::AnswerTooLarge);
+        this->processQueue();
+        return;
+    }
     const bool isError = this->isEngine && attempt->answer.statusCode() >= firstServerErrorStatus;
     if (isError)
         return;
@@ -518,7 +527,11 @@
         this->refuse(attempt, ResultCode::UpstreamDown, RunOutcome::NotRun, retryAfterFailure);
         return;
     }
-    if (result.outcome != Platform::CallOutcome::Complete) {
+    const bool isBrokenOff = !attempt->resumeRefused && attempt->answer.isBrokenOff();
+    if (result.outcome != Platform::CallOutcome::Complete || isBrokenOff) {
+        Foundation::logEvent(Event::AttemptInterrupted, attempt->offer.request,
+            attempt->id() + " error=" + (result.error.empty() ? "the stream ended inside an event" : result.error)
+                + " bytes=" + std::to_string(attempt->answer.bytes()));
         attempt->phase = AttemptPhase::Interrupted;
         this->monitor->checkNow();
         return;
@@ -610,6 +623,12 @@
         this->detachFromEntry(attempt);
         return;
     }
+    this->abortDispatched(attempt, reason);
+    this->processQueue();
+}
+
+void AgentCore::abortDispatched(const AttemptPtr& attempt, ResultCode reason)
+{
     Foundation::logEvent(Event::AttemptCancelled, attempt->offer.request, attempt->id());
     this->metrics.counter("bluebell_cancelled_total").fetch_add(1);
     this->upstream.abandonCall(attempt->call);
@@ -620,7 +639,6 @@
         this->cancelAtUpstream(attempt->id());
     } else
         this->admission->releaseStream(attempt->id());
-    this->processQueue();
 }
 
 // Lets a non-repeatable call run on without a connected entry until its deadline. Such a call is never aborted earlier:
--- a/src/apps/agent/agentcore.h
+++ b/src/apps/agent/agentcore.h
@@ -75,7 +75,7 @@
 
     // The answer of the upstream.
     Platform::StreamHandlers makeStreamHandlers(const AttemptPtr& attempt);
-    void onAnswerHead(const AttemptPtr& attempt, int status, const std::string& contentType);
+    void onAnswerHead(const AttemptPtr& attempt, const Platform::HttpAnswerHead& head);
     void onAnswerData(const AttemptPtr& attempt, std::string_view data);
     void onCallEnd(const AttemptPtr& attempt, const Platform::HttpCallResult& result);
     void resumeAtUpstream(const AttemptPtr& attempt);
@@ -86,6 +86,8 @@
         Foundation::Duration retryAfter, std::string_view detail = {});
     void releaseReservation(const AttemptPtr& attempt);
     void cancelAttempt(const AttemptPtr& attempt, Foundation::ResultCode reason);
+    /** Ends a dispatched attempt here and at the upstream. */
+    void abortDispatched(const AttemptPtr& attempt, Foundation::ResultCode reason);
     void cancelAtUpstream(const std::string& stream);
     void sendAnswer(const AttemptPtr& attempt);
     bool isRunning(const AttemptPtr& attempt) const;
@@ -127,6 +129,7 @@
     /** Null until a configuration contains the upstream. */
     std::unique_ptr<Admission::AdmissionController> admission;
     Quarantine::SuspectRegistry suspects;
+    Relay::AnswerMemory answerMemory;
     /** The fingerprints of cancelled prompts whose cancellation the engine has not acknowledged, by stream. */
     std::map<std::string, std::string> unacknowledgedCancels;
     AttemptTable attempts;
--- a/src/apps/agent/answerrecorder.cpp
+++ b/src/apps/agent/answerrecorder.cpp
@@ -5,20 +5,38 @@
 
 namespace Agent {
 
+namespace {
+
+constexpr std::string_view eventStreamType = "text/event-stream";
+
+} // namespace
+
 /**
  * @class AnswerRecorder
  * Stores the answer of one attempt, so that it can be sent again after the connection to the entry was lost.
  */
-void AnswerRecorder::setHead(int newStatus, std::string newContentType)
+void AnswerRecorder::setHead(const Platform::HttpAnswerHead& head)
 {
     if (this->status != 0)
         return;
-    this->status = newStatus;
-    this->answerContentType = std::move(newContentType);
+    this->status = head.status;
+    this->answerContentType = head.contentType;
+    this->framing = head.framing;
+}
+
+bool AnswerRecorder::isBrokenOff() const
+{
+    if (!this->answerContentType.starts_with(eventStreamType))
+        return false;
+    // Nothing shows that a stream without events that ended with its connection was meant to be empty.
+    const bool isEmpty = this->chunks.empty() && this->framing == Platform::BodyFraming::ConnectionClose;
+    return isEmpty || this->events.isInsideEvent();
 }
 
 void AnswerRecorder::add(std::string_view data)
 {
+    for (std::string_view rest = data; !rest.empty();)
+        rest.remove_prefix(std::min(rest.size(), this->events.findEnd(rest)));
     while (!data.empty()) {
         const std::string_view chunk = data.substr(0, Wire::maximumChunkBytes);
         this->assembly.accept(this->chunks.size(), chunk);
--- a/src/apps/agent/answerrecorder.h
+++ b/src/apps/agent/answerrecorder.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <platform/httptransfers.h>
+#include <relay/eventscanner.h>
 #include <routing/answerassembly.h>
 #include <wire/messages.h>
 
@@ -15,7 +17,7 @@
     using SendFunction = std::function<void(Wire::Message)>;
 
     /** Records the head of the answer. Only the first call has an effect; a resumed call brings the head again. */
-    void setHead(int status, std::string contentType);
+    void setHead(const Platform::HttpAnswerHead& head);
 
     /** Appends bytes of the answer, split into chunks of at most Wire::maximumChunkBytes. */
     void add(std::string_view data);
@@ -36,6 +38,9 @@
     /** Returns the body received so far. */
     std::string body() const;
 
+    /** Returns whether the answer would be broken off if it ended here although its upstream ended it in order. */
+    bool isBrokenOff() const;
+
     std::uint64_t bytes() const { return this->assembly.bytes(); }
     bool hasHead() const { return this->status != 0; }
     int statusCode() const { return this->status; }
@@ -44,6 +49,8 @@
 private:
     int status = 0;
     std::string answerContentType;
+    Platform::BodyFraming framing = Platform::BodyFraming::Length;
+    Relay::EventScanner events;
     std::vector<std::string> chunks;
     Routing::AnswerAssembly assembly;
     std::uint64_t nextChunkToSend = 0;
--- a/src/apps/agent/attempttable.h
+++ b/src/apps/agent/attempttable.h
@@ -5,6 +5,7 @@
 #include <admission/queuedrequest.h>
 #include <foundation/clock.h>
 #include <platform/httptransfers.h>
+#include <relay/answermemory.h>
 #include <wire/endpoint.h>
 #include <wire/messages.h>
 
@@ -57,6 +58,8 @@
     /** Whether the upstream answered the last resume request with an error, so that the rest of the answer is lost. */
     bool resumeRefused = false;
     AnswerRecorder answer;
+    /** What the answer holds; null before the attempt is dispatched. */
+    std::shared_ptr<Relay::AnswerMemory::Share> answerMemory;
 
     const std::string& id() const { return this->offer.attempt; }
     bool isDispatched() const
--- a/src/apps/entry/entrycore.cpp
+++ b/src/apps/entry/entrycore.cpp
@@ -61,8 +61,9 @@
     , entryId(this->settings.process.instance + "/" + Foundation::makeIdentifier())
     , table(makeEmptyTable(this->settings.process.failureDomain))
     , suspectTable(std::make_shared<const SuspectTable>())
+    , answerMemory(this->settings.process.answerMemoryBytes)
     , sharedContext { workers, clock, this->metrics, this->table, this->suspectTable, this->retryBudget, this->traces,
-        this->activeRequests, this->settings.recoveryTime, this->settings.interleaving }
+        this->activeRequests, this->answerMemory, this->settings.recoveryTime, this->settings.interleaving }
     , transfers(control)
     , log(transfers, this->settings.process.logUrl)
     , instanceList(transfers, this->settings.process.instanceListUrl)
--- a/src/apps/entry/entrycore.h
+++ b/src/apps/entry/entrycore.h
@@ -88,6 +88,7 @@
     std::atomic<std::int64_t> activeRequests { 0 };
     std::atomic<bool> shuttingDown { false };
     std::atomic<std::uint64_t> versionInForce { 0 };
+    Relay::AnswerMemory answerMemory;
     ProxyContext sharedContext;
     Platform::HttpTransfers transfers;
     Platform::LogClient log;
--- a/src/apps/entry/proxiedrequest.cpp
+++ b/src/apps/entry/proxiedrequest.cpp
@@ -44,6 +44,7 @@
     , arrivedAt(context.clock.now())
     , deadline(this->arrivedAt + this->request.timeout)
     , trace { this->request.id, {} }
+    , heldAnswer(std::make_shared<Relay::AnswerMemory::Share>(context.answerMemory))
     , lastRefusal { ResultCode::NoUpstream, RunOutcome::NotRun, defaultRetryAfterMs, "" }
 {
     this->context.activeRequests.fetch_add(1);
@@ -350,14 +351,26 @@
         this->context.metrics.observe("bluebell_first_byte_seconds", classLabel(this->request),
             Foundation::toSeconds(this->context.clock.now() - this->arrivedAt));
     }
-    if (!this->isStreamed()) {
+    if (this->isStreamed()) {
+        if (!this->isStreamStarted)
+            this->beginStream();
+        this->bytesDelivered += data.size();
+        this->exchange->write(data);
+        this->heldAnswer->resize(this->exchange->unsentBytes());
+    } else {
         this->bufferedBody += data;
-        return;
+        this->heldAnswer->resize(this->bufferedBody.size());
     }
-    if (!this->isStreamStarted)
-        this->beginStream();
-    this->bytesDelivered += data.size();
-    this->exchange->write(data);
+    if (!this->heldAnswer->isWithinLimit() && Foundation::isEnabled(Foundation::Mechanism::AnswerMemory))
+        this->endTooLargeAnswer();
+}
+
+void ProxiedRequest::endTooLargeAnswer()
+{
+    this->recordStep("the answer is too large: limit " + std::to_string(this->heldAnswer->limit()) + " bytes");
+    this->link->send(Wire::Cancel { this->attempt });
+    this->closeAttempt();
+    this->finishError({ ResultCode::AnswerTooLarge, RunOutcome::MayHaveRun, 0, "" });
 }
 
 void ProxiedRequest::beginStream()
@@ -384,6 +397,7 @@
     }
     Web::HttpReply reply = this->makeReplyHead();
     reply.body = std::move(this->bufferedBody);
+    reply.attachment = this->heldAnswer;
     this->exchange->respond(std::move(reply));
 }
 
--- a/src/apps/entry/proxiedrequest.h
+++ b/src/apps/entry/proxiedrequest.h
@@ -8,6 +8,7 @@
 
 #include <foundation/metrics.h>
 #include <foundation/rcucell.h>
+#include <relay/answermemory.h>
 #include <routing/answerassembly.h>
 #include <routing/retrybudget.h>
 #include <routing/retrypolicy.h>
@@ -36,6 +37,7 @@
     Routing::RetryBudget& retryBudget;
     RequestTraces& traces;
     std::atomic<std::int64_t>& activeRequests;
+    const Relay::AnswerMemory& answerMemory;
     /** How long an attempt waits for its agent to be connected again. */
     Foundation::Duration recoveryTime {};
     Wire::Interleaving interleaving = Wire::Interleaving::On;
@@ -92,6 +94,8 @@
         const std::string& detail);
     /** Sends a part of the answer to the caller, or buffers it if the answer is not streamed. */
     void deliver(const std::string& data);
+    /** Cancels the attempt and ends the request, since its answer holds more memory than it may. */
+    void endTooLargeAnswer();
     void beginStream();
     void finishAnswer(std::int64_t promptTokens);
     void finishError(CallerError error);
@@ -131,6 +135,8 @@
     std::optional<Wire::AnswerHead> head;
     /** The body received so far, if the answer is not streamed. */
     std::string bufferedBody;
+    /** What the answer holds: the buffered body, or what the caller of a stream has not received yet. */
+    std::shared_ptr<Relay::AnswerMemory::Share> heldAnswer;
     int resumeCount = 0;
 
     // The state of the request across its attempts.
--- a/src/libs/application/processsettings.h
+++ b/src/libs/application/processsettings.h
@@ -4,6 +4,7 @@
 #include <foundation/event.h>
 #include <foundation/jsonobjectreader.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -23,6 +24,8 @@
     Foundation::Severity logSeverity = Foundation::Severity::Info;
     Foundation::Duration heartbeatInterval {};
     Foundation::Duration connectionTimeout {};
+    /** The memory for all answers that the process holds, in bytes. */
+    std::size_t answerMemoryBytes = 0;
 };
 
 /**
--- a/src/libs/foundation/event.cpp
+++ b/src/libs/foundation/event.cpp
@@ -64,6 +64,8 @@
     { Event::AttemptRefused, "AttemptRefused", Severity::Debug, "An attempt was refused before it was dispatched." },
     { Event::AttemptFinished, "AttemptFinished", Severity::Debug, "An attempt ended." },
     { Event::AttemptCancelled, "AttemptCancelled", Severity::Debug, "An attempt was cancelled at the upstream." },
+    { Event::AttemptInterrupted, "AttemptInterrupted", Severity::Info,
+        "The answer of an attempt broke off; it is resumed or ended after a status check of the upstream." },
     { Event::UpstreamGeneration, "UpstreamGeneration", Severity::Warning, "The upstream has restarted." },
     { Event::UpstreamCold, "UpstreamCold", Severity::Warning,
         "The upstream is cold; its start-up limits apply again." },
--- a/src/libs/foundation/event.h
+++ b/src/libs/foundation/event.h
@@ -46,6 +46,7 @@
     AttemptRefused = 411,
     AttemptFinished = 412,
     AttemptCancelled = 413,
+    AttemptInterrupted = 414,
     UpstreamGeneration = 500,
     UpstreamCold = 501,
     UpstreamDown = 502,
--- a/src/libs/foundation/mechanism.cpp
+++ b/src/libs/foundation/mechanism.cpp
@@ -12,7 +12,7 @@
 
 constexpr auto names = std::to_array<std::string_view>(
     { "EntryDeadline", "UpstreamCancel", "StartupRamp", "TakeOut", "Leaving", "AnswerCheck", "RevokeProof", "Claims",
-        "PeerConfiguration", "GracefulShutdown", "Quarantine", "MemoryLedger" });
+        "PeerConfiguration", "GracefulShutdown", "Quarantine", "MemoryLedger", "AnswerMemory" });
 
 } // namespace
 
--- a/src/libs/foundation/mechanism.h
+++ b/src/libs/foundation/mechanism.h
@@ -18,6 +18,7 @@
     GracefulShutdown,
     Quarantine,
     MemoryLedger,
+    AnswerMemory,
 };
 
 #ifdef BLUEBELL_MECHANISM_SWITCHES
--- a/src/tools/standin/modelengine.cpp
+++ b/src/tools/standin/modelengine.cpp
@@ -296,6 +296,17 @@
         return;
     if (isFirst)
         stream->exchange->beginStream(eventStreamHead());
+    if (this->faults.consume("endInsideEvents")) {
+        stream->exchange->write(data.substr(0, data.size() / 2));
+        stream->exchange->finish();
+        this->detach(stream);
+        return;
+    }
+    if (this->faults.consume("endlessAnswers")) {
+        this->sendEndlessly(stream->exchange);
+        this->detach(stream);
+        return;
+    }
     stream->exchange->write(data);
     if (this->faults.consume("cutStreams")) {
         stream->exchange->abort();
@@ -303,6 +314,26 @@
     }
 }
 
+void ModelEngine::sendEndlessly(const std::shared_ptr<Web::HttpExchange>& exchange)
+{
+    constexpr std::size_t blockBytes = 256 * 1024;
+    const auto pause = std::make_shared<asio::steady_timer>(this->timer.get_executor());
+    const auto isClosed = std::make_shared<bool>(false);
+    exchange->setDisconnectHandler([isClosed] { *isClosed = true; });
+    const auto sendMore = std::make_shared<std::function<void()>>();
+    // The handler of the timer keeps the function alive until the connection is closed.
+    *sendMore = [exchange, pause, isClosed, weak = std::weak_ptr(sendMore)] {
+        if (exchange->unsentBytes() < blockBytes)
+            exchange->write("data: " + std::string(blockBytes, 'x') + "\n\n");
+        pause->expires_after(std::chrono::milliseconds(1));
+        pause->async_wait([isClosed, next = weak.lock()](const asio::error_code& error) {
+            if (!error && !*isClosed)
+                (*next)();
+        });
+    };
+    (*sendMore)();
+}
+
 void ModelEngine::finish(const StreamPtr& stream)
 {
     if (!stream->exchange)
--- a/src/tools/standin/modelengine.h
+++ b/src/tools/standin/modelengine.h
@@ -45,7 +45,8 @@
  * keeps its memory until it is cancelled.
  *
  * Faults: cold (resets the engine to the cold state at once), cutStreams (closes N connections at their next write; the
- * streams continue), ignoreCancels, slowFactor (duration of prefill in percent; values below 100 have no effect),
+ * streams continue), endInsideEvents (the same, but ends N answers in order in the middle of an event), endlessAnswers
+ * (N answers go on without end), ignoreCancels, slowFactor (duration of prefill in percent; values below 100 have no effect),
  * leaving (the status reports that the engine is draining). A prompt that contains CRASH-THE-ENGINE crashes the engine
  * at the end of its prefill.
  */
@@ -97,6 +98,8 @@
     StreamPtr nextPrefillStream() const;
     void decode(const StreamPtr& stream);
     void send(const StreamPtr& stream, const std::string& data);
+    /** Writes as fast as the connection allows, until it is closed. */
+    void sendEndlessly(const std::shared_ptr<Web::HttpExchange>& exchange);
     void finish(const StreamPtr& stream);
     void release(const std::string& id);
     /** Drops all streams and the warm state and starts a new generation, as a restarted engine process does. */
--- a/tests/auto/apps/tst_agent.cpp
+++ b/tests/auto/apps/tst_agent.cpp
@@ -25,7 +25,7 @@
     recorder.add("early");
     this->collect(recorder);
     LONGS_EQUAL(0, this->sent.size());
-    recorder.setHead(200, "text/plain");
+    recorder.setHead({ 200, "text/plain", {}, Platform::BodyFraming::Length });
     recorder.add(std::string(Wire::maximumChunkBytes + 1, 'x'));
     this->collect(recorder);
     LONGS_EQUAL(4, this->sent.size());
@@ -69,3 +69,22 @@
     CHECK_FALSE(settings.has_value());
     CHECK_TRUE(settings.error().message.find("'/upstreamUrl' is required") != std::string::npos);
 }
+
+TEST(AgentParts, anEventStreamThatEndsInsideAnEventIsBrokenOff)
+{
+    AnswerRecorder recorder;
+    recorder.setHead({ 200, "text/event-stream", {}, Platform::BodyFraming::ConnectionClose });
+    CHECK_TRUE(recorder.isBrokenOff());
+    recorder.add("data: a\n\ndata");
+    CHECK_TRUE(recorder.isBrokenOff());
+    recorder.add(": b\n\n");
+    CHECK_FALSE(recorder.isBrokenOff());
+}
+
+TEST(AgentParts, anAnswerThatIsNoEventStreamHasNoEventsToBreakOffIn)
+{
+    AnswerRecorder recorder;
+    recorder.setHead({ 200, "application/json", {}, Platform::BodyFraming::ConnectionClose });
+    recorder.add("{}");
+    CHECK_FALSE(recorder.isBrokenOff());
+}
--- a/tests/system/scenarios.cpp
+++ b/tests/system/scenarios.cpp
@@ -107,6 +107,40 @@
     std::vector<HistoryCall> calls;
 };
 
+// Sends prompts whose streams are read and discarded, however long they are.
+class DiscardingCallers {
+public:
+    DiscardingCallers(const std::string& entryUrl, int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            Platform::HttpCall call;
+            call.method = "POST";
+            call.url = entryUrl + promptPath;
+            call.headers = { std::string("Authorization: Bearer ") + Fleet::callerKey, "Content-Type: application/json",
+                "X-Request-Id: discarded-" + std::to_string(i), "X-Request-Timeout-Ms: 6000" };
+            call.body = R"({"model":"muse-llm","max_tokens":8,"stream":true,"prompt":"discarded )" + std::to_string(i)
+                + "\"}";
+            call.timeout = std::chrono::seconds(8);
+            call.connectionUse = Platform::ConnectionUse::Dedicated;
+            this->transfers.stream(std::move(call),
+                { [](const Platform::HttpAnswerHead&) {}, [](const std::string&) {},
+                    [](const Platform::HttpCallResult&) {} });
+        }
+        this->thread = std::thread([this] { this->context.run(); });
+    }
+
+    ~DiscardingCallers()
+    {
+        this->context.stop();
+        this->thread.join();
+    }
+
+private:
+    asio::io_context context { 1 };
+    Platform::HttpTransfers transfers { this->context };
+    std::thread thread;
+};
+
 ScenarioResult testDeadlines(const ScenarioSettings& settings)
 {
     Fleet::FleetPlan plan = scenarioFleetPlan();
@@ -291,10 +325,60 @@
         fixture.sleepMs(200 + static_cast<std::int64_t>(fixture.random()() % 250));
         fixture.agentProxy(randomName(fixture.random(), engines)).closeConnections();
         fleet.setFaults("upstream-" + randomName(fixture.random(), engines), R"({"cutStreams":3})");
+        fleet.setFaults("upstream-" + randomName(fixture.random(), engines), R"({"endInsideEvents":2})");
+    }
+    fixture.waitForLoad();
+    const History& history = fixture.completeHistory();
+    Violations violations = commonChecks(history);
+    const auto served = std::ranges::count_if(history.calls, &HistoryCall::isServed);
+    if (served * 10 < static_cast<std::ptrdiff_t>(history.calls.size()) * 9)
+        violations.push_back(
+            "only " + std::to_string(served) + " of " + std::to_string(history.calls.size()) + " calls were served");
+    return summarize(history, violations);
+}
+
+// Some engines never end their answers. Neither agents nor entries may hold more than their settings allow for it, and
+// the other callers are served.
+ScenarioResult testEndlessAnswers(const ScenarioSettings& settings)
+{
+    constexpr int answerMemoryMb = 64;
+    constexpr std::int64_t bytesPerMegabyte = 1'000'000;
+    // A growing buffer takes up to three times its size; the rest is for the process itself.
+    constexpr std::int64_t maximumResidentBytes = 4 * answerMemoryMb * bytesPerMegabyte;
+    Fleet::FleetPlan plan = scenarioFleetPlan();
+    const std::string memorySetting = R"(, "answerMemoryMb": )" + std::to_string(answerMemoryMb);
+    plan.extraAgentSettings += memorySetting;
+    plan.extraEntrySettings += memorySetting;
+    ScenarioFixture fixture(settings, plan);
+    fixture.start();
+    Fleet::RunningFleet& fleet = fixture.fleet();
+    fleet.warmUp();
+    const auto engines = instancesWithRole(fixture, fleet, "engine");
+    for (const std::string& engine : engines)
+        fleet.setFaults("upstream-" + engine, R"({"endlessAnswers":1})");
+    DiscardingCallers callers("http://" + fleet.entryAddress(0), static_cast<int>(engines.size()));
+    fixture.sleepMs(200);
+    auto workload = fixture.workload("captions", 40, 4);
+    fixture.startLoad(workload);
+    std::int64_t largest = 0;
+    for (int sample = 0; sample < 300 && largest <= 2 * maximumResidentBytes; ++sample) {
+        fixture.sleepMs(10);
+        for (const std::string& engine : engines)
+            largest = std::max(largest, fleet.process("agent-" + engine).residentBytes());
+        for (int entry = 0; entry < plan.entries; ++entry)
+            largest = std::max(largest, fleet.process("entry-" + std::to_string(entry)).residentBytes());
+    }
+    // Protects the machine that runs the test.
+    if (largest > 2 * maximumResidentBytes) {
+        for (const std::string& engine : engines)
+            fleet.killProcess("upstream-" + engine);
     }
     fixture.waitForLoad();
     const History& history = fixture.completeHistory();
     Violations violations = commonChecks(history);
+    if (largest > maximumResidentBytes)
+        violations.push_back(
+            "a process held " + std::to_string(largest / bytesPerMegabyte) + " MB, more than its settings allow");
     const auto served = std::ranges::count_if(history.calls, &HistoryCall::isServed);
     if (served * 10 < static_cast<std::ptrdiff_t>(history.calls.size()) * 9)
         violations.push_back(
@@ -654,7 +738,7 @@
     return summarize(history, commonChecks(history));
 }
 
-const std::array<Scenario, 13> promiseScenarios = { {
+const std::array<Scenario, 14> promiseScenarios = { {
     { "ends-in-time", "1", "engine and agents frozen, log unavailable", "EntryDeadline", &testDeadlines },
     { "no-memory-lost", "2", "callers disconnect, an engine does not answer cancellations, agent and entry killed",
         "UpstreamCancel", &testMemoryRelease },
@@ -666,6 +750,7 @@
         "failure domain taken out, then log unavailable, entry started during that time, instance list updated late",
         "TakeOut", &testTakenOutDomain },
     { "whole-answers", "5", "connections closed on both sides of the agent", "AnswerCheck", &testWholeAnswers },
+    { "endless-answers", "5", "engines whose answers do not end", "AnswerMemory", &testEndlessAnswers },
     { "not-run", "6", "connections closed at any step of a booking call", "RevokeProof", &testNotRunOutcomes },
     { "at-most-once", "7",
         "same idempotency key sent to two entries and retried, agent frozen or killed, log loses answers or is "
@@ -683,8 +768,8 @@
         &testSilentCrash },
 } };
 
-const std::array<Scenario, 14> allScenarios = [] {
-    std::array<Scenario, 14> list;
+const std::array<Scenario, 15> allScenarios = [] {
+    std::array<Scenario, 15> list;
     std::ranges::copy(promiseScenarios, list.begin());
     list.back() = { "any-faults", "all", "pairs of random faults under a mixed load", "", &testMixedFaults };
     return list;
