Store and tell possible crashes, and tell new gateways what completes

Now possible crashes are told to the other gateways in batches of 300 ms, and a request with two of them, at different generations, is stored with them, unless it has completed within ten seconds. A stored possible crash counts for a new gateway once its generation is not listed, as for the others. Confirmed crashes are told too.

A call that many callers send alike was refused as crashing upstreams by a gateway that had just started: it got the crash notices of the others, but not that the call completes there. Now a new connection also tells the recorded requests that completed within ten seconds.

--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -39,6 +39,10 @@
 // connection for other reasons, so a lower limit would refuse requests that did not cause a crash.
 constexpr std::size_t crashLimit = 3;
 
+// Callers often leave for other reasons than a crash, so possible crashes are told in batches.
+constexpr Duration possibleCrashInterval = std::chrono::milliseconds(300);
+constexpr std::size_t maximumPossibleCrashes = 256;
+
 // The interval at which crash notices are compared with the list of upstreams.
 constexpr Duration crashConfirmationInterval = std::chrono::milliseconds(500);
 
@@ -95,8 +99,8 @@
                   if (!notice.isHelpRefusal)
                       this->suspects.suspectGeneration(notice.generation);
               },
-              [this] { return this->ledger.ownUsage(); },
-              [this] { return makeSuspectNotice(this->suspects.notices()); }, [this] { this->applyLimits(); } })
+              [this] { return this->ledger.ownUsage(); }, [this] { return this->makeSuspectSnapshot(); },
+              [this] { this->applyLimits(); } })
     , storeSynchronizer(this->transfers, this->clock, this->bootClock, this->metrics, this->settings,
           { [this] { this->onStoreCacheChanged(); },
               [this](const std::string& upstreamGeneration) {
@@ -185,13 +189,39 @@
     }
 }
 
+Wire::SuspectNotice GatewayCore::makeSuspectSnapshot() const
+{
+    Wire::SuspectNotice snapshot = makeSuspectNotice(this->suspects.notices());
+    // A gateway that has just started has seen no request complete.
+    snapshot.cleared = this->suspects.recentlyCompleted();
+    return snapshot;
+}
+
 void GatewayCore::onOwnSuspects(const std::vector<CrashNotice>& notices)
 {
     if (notices.empty())
         return;
-    this->peers.broadcast(makeSuspectNotice(notices));
-    for (const CrashNotice& notice : notices)
+    std::vector<CrashNotice> urgent;
+    for (const CrashNotice& notice : notices) {
+        const bool isSuspect = this->suspects.status(notice.fingerprint) != Quarantine::QuarantineStatus::Clear;
+        const bool isUrgent = notice.certainty != CrashCertainty::Possible || isSuspect;
+        if (isUrgent)
+            urgent.push_back(notice);
+        else if (this->unsentPossibleCrashes.size() < maximumPossibleCrashes)
+            this->unsentPossibleCrashes.push_back(notice);
         this->suspectStore.onRecorded(notice.fingerprint, /* isObservedHere */ true);
+    }
+    if (!urgent.empty())
+        this->peers.broadcast(makeSuspectNotice(urgent));
+}
+
+void GatewayCore::flushPossibleCrashes()
+{
+    const TimePoint now = this->clock.now();
+    if (now < this->nextPossibleCrashFlush || this->unsentPossibleCrashes.empty())
+        return;
+    this->nextPossibleCrashFlush = now + possibleCrashInterval;
+    this->peers.broadcast(makeSuspectNotice(std::exchange(this->unsentPossibleCrashes, {})));
 }
 
 void GatewayCore::onExonerated(const std::string& fingerprint)
@@ -210,6 +240,8 @@
     this->nextCrashConfirmation = now + crashConfirmationInterval;
     const std::vector<CrashNotice> confirmed = this->suspects.confirmEnded(
         [&directory](std::string_view generation) { return directory.isGenerationListed(generation); });
+    if (!confirmed.empty())
+        this->peers.broadcast(makeSuspectNotice(confirmed));
     for (const CrashNotice& notice : confirmed) {
         this->logSuspect(notice, "generation ended");
         this->suspectStore.onRecorded(notice.fingerprint, /* isObservedHere */ false);
@@ -279,6 +311,7 @@
                 + " under_way=" + std::to_string(this->requests.size()));
     this->storeSynchronizer.tick();
     this->confirmCrashes();
+    this->flushPossibleCrashes();
     this->suspectStore.tick();
     this->peers.tick();
     this->dispatcher.setPeerLoadAvailable(this->peers.isMajorityConnected());
--- a/src/apps/gateway/gatewaycore.h
+++ b/src/apps/gateway/gatewaycore.h
@@ -57,8 +57,12 @@
     void onPeerSuspects(const Wire::SuspectNotice& notice);
     /** Tells the other gateways of crashes that this process observed, and stores them if they are repeated. */
     void onOwnSuspects(const std::vector<Quarantine::CrashNotice>& notices);
+    /** Returns all notices and the requests that are known to be harmless, for a gateway that has just connected. */
+    Wire::SuspectNotice makeSuspectSnapshot() const;
     void onExonerated(const std::string& fingerprint);
     void confirmCrashes();
+    /** Tells the other gateways of the possible crashes that were recorded since the last call. */
+    void flushPossibleCrashes();
     void logSuspect(const Quarantine::CrashNotice& notice, std::string_view ending) const;
     void applyLimits();
     bool canStop(Foundation::TimePoint now) const;
@@ -89,6 +93,8 @@
     Foundation::TimePoint lastLoadFlush {};
     Foundation::TimePoint nextFailureNotice {};
     Foundation::TimePoint nextCrashConfirmation {};
+    std::vector<Quarantine::CrashNotice> unsentPossibleCrashes;
+    Foundation::TimePoint nextPossibleCrashFlush {};
     Foundation::Duration totalSuspension {};
     std::function<void()> shutdownHandler;
     Foundation::TimePoint shutdownStart {};
--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -803,10 +803,7 @@
     const Quarantine::CrashNotice notice { this->fingerprint, *crash, certainty };
     if (!this->context.suspects.record(notice))
         return;
-    // Callers often leave, so the other gateways are only told if the request is a suspect already.
-    const bool isSuspect = this->context.suspects.status(this->fingerprint) != Quarantine::QuarantineStatus::Clear;
-    if (isSuspect)
-        this->context.onSuspects({ notice });
+    this->context.onSuspects({ notice });
     if (certainty == Quarantine::CrashCertainty::Possible)
         return;
     this->context.metrics.counter("bluebell_suspects_total", "ending=\"" + std::string(ending) + "\"").fetch_add(1);
--- a/src/apps/gateway/suspectstore.cpp
+++ b/src/apps/gateway/suspectstore.cpp
@@ -33,6 +33,14 @@
     return keyPrefix(notice.fingerprint) + std::to_string(Foundation::hash64(notice.crash));
 }
 
+CrashCertainty decodeCertainty(int number)
+{
+    if (number == static_cast<int>(CrashCertainty::Possible))
+        return CrashCertainty::Possible;
+    return number == static_cast<int>(CrashCertainty::Confirmed) ? CrashCertainty::Confirmed
+                                                                 : CrashCertainty::Suspected;
+}
+
 std::int64_t toEpochMs(std::chrono::system_clock::time_point time)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count();
@@ -56,14 +64,21 @@
             this->observed.clear();
         this->observed.emplace(fingerprint);
     }
-    if (!this->observed.contains(fingerprint) || this->suspects.crashCount(fingerprint) < repeatedCrashes)
+    if (!this->observed.contains(fingerprint))
+        return;
+    const std::vector<CrashNotice> notices = this->suspects.openNotices(fingerprint);
+    if (notices.size() < repeatedCrashes)
         return;
-    for (const CrashNotice& notice : this->suspects.countedNotices(fingerprint)) {
+    for (const CrashNotice& notice : notices) {
         if (this->storedKeys.size() >= maximumKeys)
             return;
         const std::string key = makeKey(notice);
-        if (this->storedKeys.insert(key).second)
-            this->queue(key, this->encode(notice));
+        const auto [stored, isNew] = this->storedKeys.try_emplace(key, notice.certainty);
+        const bool isRaised = stored->second == CrashCertainty::Possible && notice.certainty > stored->second;
+        if (!isNew && !isRaised)
+            continue;
+        stored->second = notice.certainty;
+        this->queue(key, this->encode(notice));
     }
     this->tick();
 }
@@ -72,8 +87,8 @@
 {
     const std::string prefix = keyPrefix(fingerprint);
     for (auto next = this->storedKeys.lower_bound(prefix);
-         next != this->storedKeys.end() && next->starts_with(prefix);) {
-        this->queue(*next, std::nullopt);
+         next != this->storedKeys.end() && next->first.starts_with(prefix);) {
+        this->queue(next->first, std::nullopt);
         next = this->storedKeys.erase(next);
     }
     this->tick();
@@ -104,7 +119,8 @@
         logEvent(Event::EntryIgnored, "", "key=" + record.key + " offset=" + std::to_string(record.offset));
         return;
     }
-    this->storedKeys.insert(record.key);
+    const CrashCertainty certainty = decodeCertainty(fields[certaintyField].get<int>());
+    this->storedKeys[record.key] = certainty;
     const Duration age = std::chrono::milliseconds(
         std::max<std::int64_t>(0, toEpochMs(this->wallClock.now()) - fields[timeField].get<std::int64_t>()));
     if (age >= Quarantine::SuspectRegistry::lifetime) {
@@ -112,11 +128,9 @@
         this->queue(record.key, std::nullopt);
         return;
     }
-    const bool isConfirmed = fields[certaintyField].get<int>() == static_cast<int>(CrashCertainty::Confirmed);
-    const CrashNotice notice { fingerprint, fields[crashField].get<std::string>(),
-        isConfirmed ? CrashCertainty::Confirmed : CrashCertainty::Suspected };
-    // Whether the upstream of an unconfirmed notice has ended is decided from the list of upstreams, as of now.
-    if (this->suspects.record(notice, isConfirmed ? age : Duration::zero()))
+    const CrashNotice notice { fingerprint, fields[crashField].get<std::string>(), certainty };
+    // Whether the upstream of a suspected crash has ended is decided from the list of upstreams, as of now.
+    if (this->suspects.record(notice, certainty == CrashCertainty::Suspected ? Duration::zero() : age))
         logEvent(Event::SuspectAdded, "",
             "fingerprint=" + fingerprint + " crash=" + notice.crash
                 + " ending=stored crashes=" + std::to_string(this->suspects.crashCount(fingerprint)));
--- a/src/apps/gateway/suspectstore.h
+++ b/src/apps/gateway/suspectstore.h
@@ -25,7 +25,11 @@
     SuspectStore(PlatformAdapter::StoreClient& store, const Foundation::Clock& clock,
         const Foundation::WallClock& wallClock, Quarantine::SuspectRegistry& suspects);
 
-    /** Stores all notices against a request if this process observed one of them and they are repeated. */
+    /**
+     * Stores all notices against a request if this process observed one of them and they are repeated. That includes
+     * possible crashes: a request whose callers leave before they can see one may be sent again after all gateways have
+     * been killed.
+     */
     void onRecorded(std::string_view fingerprint, bool isObservedHere);
 
     /** Removes the stored notices against a request. */
@@ -53,8 +57,8 @@
     Quarantine::SuspectRegistry& suspects;
     /** The fingerprints of requests of which this process observed a crash. */
     std::set<std::string, std::less<>> observed;
-    /** The keys that the store has or will have. */
-    std::set<std::string, std::less<>> storedKeys;
+    /** The keys that the store has or will have, with the certainty that is stored. */
+    std::map<std::string, Quarantine::CrashCertainty, std::less<>> storedKeys;
     /** Records that the store has not acknowledged; without a value for a removal. */
     std::map<std::string, std::optional<std::string>> pending;
     bool isAppending = false;
--- a/src/libs/quarantine/suspectregistry.cpp
+++ b/src/libs/quarantine/suspectregistry.cpp
@@ -253,6 +253,29 @@
     return counted;
 }
 
+std::vector<CrashNotice> SuspectRegistry::openNotices(std::string_view fingerprint) const
+{
+    std::vector<CrashNotice> open;
+    const auto found = this->suspects.find(fingerprint);
+    if (found == this->suspects.end() || this->hasCompletedRecently(fingerprint))
+        return open;
+    for (const auto& [name, crash] : found->second.crashes) {
+        if (this->isValid(crash))
+            open.push_back({ found->first, name, crash.certainty });
+    }
+    return open;
+}
+
+std::vector<std::string> SuspectRegistry::recentlyCompleted() const
+{
+    std::vector<std::string> completed;
+    for (const auto& [fingerprint, suspect] : this->suspects) {
+        if (this->hasCompletedRecently(fingerprint))
+            completed.push_back(fingerprint);
+    }
+    return completed;
+}
+
 bool SuspectRegistry::isValid(const Crash& crash) const
 {
     return crash.certainty == CrashCertainty::Confirmed || this->clock.now() - crash.recordedAt < unconfirmedLifetime;
--- a/src/libs/quarantine/suspectregistry.h
+++ b/src/libs/quarantine/suspectregistry.h
@@ -99,6 +99,15 @@
     /** Returns the notices that count against a request. */
     std::vector<CrashNotice> countedNotices(std::string_view fingerprint) const;
 
+    /**
+     * Returns the notices that count against a request, and those that will count if their generations end. None if it
+     * has run to its end recently.
+     */
+    std::vector<CrashNotice> openNotices(std::string_view fingerprint) const;
+
+    /** Returns the recorded requests that have run to their end so recently that they are not quarantined. */
+    std::vector<std::string> recentlyCompleted() const;
+
     std::size_t size() const { return this->suspects.size(); }
 
 private:
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -407,7 +407,7 @@
     }
 
     // As if they had ended: nothing is sent to them any more.
-    void removeUpstreamsThatRan()
+    void removeUpstreamsThatRan(Foundation::Duration time = 700ms)
     {
         if (!this->upstreamOne.startedRequests.empty())
             this->store.removeKey("keyed.servers", "one");
@@ -417,7 +417,7 @@
             if (!upstream->startedRequests.empty())
                 this->store.removeKey("keyed.servers", upstream->instanceId());
         }
-        this->runFor(700ms);
+        this->runFor(time);
     }
 
     void callUntilQuarantined(const std::string& path, const std::string& method)
@@ -427,6 +427,41 @@
     }
 };
 
+// A gateway that starts with a copy of the store, so that it learns later records from its peers only.
+struct AnotherGateway {
+    template <typename Fixture>
+    explicit AnotherGateway(Fixture& fixture, std::vector<std::string> seeds = {})
+        : storePort(unusedPort())
+        , port(unusedPort())
+        , store(fixture.context, this->storePort)
+        , core(fixture.context, makeSettingsWithSeeds(this->storePort, std::move(seeds)))
+        , server(fixture.context, { "127.0.0.1", this->port, 1 << 20 },
+              [this](const std::shared_ptr<Web::HttpExchange>& exchange) { this->core.serve(exchange); })
+    {
+        this->store.start();
+        for (const char* const topic : { "keyed.op", "keyed.servers", "keyed.suspects" })
+            this->store.copyTopic(topic, fixture.store);
+        this->server.start([](const std::string&) {});
+        CHECK_TRUE(this->core.start().has_value());
+        CHECK_TRUE(fixture.runUntil([this] { return this->core.isReady(); }));
+        fixture.runFor(200ms);
+    }
+
+    static GatewaySettings makeSettingsWithSeeds(std::uint16_t storePort, std::vector<std::string> seeds)
+    {
+        GatewaySettings settings = makeSettings(storePort);
+        settings.node.name = "gateway-2";
+        settings.node.seeds = std::move(seeds);
+        return settings;
+    }
+
+    std::uint16_t storePort;
+    std::uint16_t port;
+    StandinStore store;
+    GatewayCore core;
+    Web::HttpServer server;
+};
+
 TEST(GatewayCrashTest, aRequestWhoseUpstreamsFallSilentIsNotRunAgainAfterThree)
 {
     this->startGatewayWithUpstreams("app", UpstreamBehaviour::NeverAnswer);
@@ -471,20 +506,8 @@
     this->callUntilQuarantined("/unsafe/x", "POST");
     UNSIGNED_LONGS_EQUAL(crashLimit, this->runCount());
     this->runFor(200ms);
-    const std::uint16_t secondStorePort = unusedPort();
-    StandinStore secondStore(this->context, secondStorePort);
-    secondStore.start();
-    for (const char* const topic : { "keyed.op", "keyed.servers", "keyed.suspects" })
-        secondStore.copyTopic(topic, this->store);
-    GatewayCore restarted(this->context, makeSettings(secondStorePort));
-    const std::uint16_t port = unusedPort();
-    Web::HttpServer server(this->context, { "127.0.0.1", port, 1 << 20 },
-        [&restarted](const std::shared_ptr<Web::HttpExchange>& exchange) { restarted.serve(exchange); });
-    server.start([](const std::string&) {});
-    CHECK_TRUE(restarted.start().has_value());
-    CHECK_TRUE(this->runUntil([&restarted] { return restarted.isReady(); }));
-    this->runFor(200ms);
-    this->gatewayPort = port;
+    const AnotherGateway restarted(*this);
+    this->gatewayPort = restarted.port;
     STRCMP_CONTAINS("CrashSuspected", this->call("/unsafe/x", "POST").body.c_str());
     UNSIGNED_LONGS_EQUAL(crashLimit, this->runCount());
 }
@@ -500,3 +523,36 @@
     for (int i = 0; i < crashLimit - 1; ++i)
         LONGS_EQUAL(502, this->call("/unsafe/x", "POST").result.status);
 }
+
+TEST(GatewayCrashTest, aRequestWhoseCallersLeftIsNotRunAfterAllGatewaysWereKilledBeforeItsCrashesCount)
+{
+    this->startGatewayWithUpstreams("app", UpstreamBehaviour::NeverAnswer);
+    for (std::size_t i = 1; i <= crashLimit; ++i) {
+        const auto answer = std::make_shared<Answer>();
+        const Platform::CallId call = this->send("/unsafe/x", answer, "POST");
+        CHECK_TRUE(this->runUntil([&] { return this->runCount() == i; }));
+        this->callerTransfers.cancel(call);
+        this->runFor(50ms);
+        // All in less than the two seconds after which a possible crash counts if its upstream is not listed.
+        this->removeUpstreamsThatRan(i < crashLimit ? 700ms : 100ms);
+    }
+    const AnotherGateway restarted(*this);
+    this->runFor(3s);
+    this->gatewayPort = restarted.port;
+    STRCMP_CONTAINS("CrashSuspected", this->call("/unsafe/x", "POST").body.c_str());
+    UNSIGNED_LONGS_EQUAL(crashLimit, this->runCount());
+}
+
+TEST(GatewayCrashTest, aGatewayThatHasJustStartedDoesNotRefuseACallThatCompletesAtOthers)
+{
+    this->startGatewayWithUpstreams("app", UpstreamBehaviour::Answer);
+    LONGS_EQUAL(200, this->call("/unsafe/x", "POST").result.status);
+    this->setBehaviour(UpstreamBehaviour::CloseBeforeAnswer);
+    for (int i = 0; i < crashLimit; ++i)
+        LONGS_EQUAL(502, this->call("/unsafe/x", "POST").result.status);
+    this->setBehaviour(UpstreamBehaviour::Answer);
+    const AnotherGateway started(*this, { this->settings.node.peerEndpoint.text() });
+    this->runFor(500ms);
+    this->gatewayPort = started.port;
+    LONGS_EQUAL(200, this->call("/unsafe/x", "POST").result.status);
+}
--- a/tests/auto/quarantine/tst_suspectregistry.cpp
+++ b/tests/auto/quarantine/tst_suspectregistry.cpp
@@ -149,3 +149,14 @@
     CHECK_TRUE(this->suspects.withdraw({ "f", "x/1", CrashCertainty::Possible }));
     CHECK_TRUE(this->suspects.suspectGeneration("x/1").empty());
 }
+
+TEST(SuspectRegistry, possibleCrashesAreOpenNoticesUnlessTheRequestHasCompleted)
+{
+    this->suspects.record({ "f", "g1", CrashCertainty::Possible });
+    this->suspects.record({ "f", "g2", CrashCertainty::Suspected });
+    UNSIGNED_LONGS_EQUAL(2, this->suspects.openNotices("f").size());
+    this->suspects.exonerate("f");
+    this->suspects.record({ "f", "g3", CrashCertainty::Possible });
+    UNSIGNED_LONGS_EQUAL(0, this->suspects.openNotices("f").size());
+    UNSIGNED_LONGS_EQUAL(1, this->suspects.recentlyCompleted().size());
+}
