Decide by other gateways whether missing upstreams expired in an outage

The grace was taken from one reader's failures.

Now each gateway knows since when its records of upstreams have been current without a gap, by its own reads or by updates of others, and tells it with its replies. A gateway that was current all the while takes no grace period from others. One that was away asks at once; if another covers the whole gap, the grace period ends and what is missing is removed (OutageWasPartial, 208). A gateway that was away as well, or still is, proves nothing, so an outage for all keeps what it had. Messages of earlier versions lack the new fields, which then prove nothing.

Three tests failed on the code before and pass now: anUpstreamThatLeftWhile- OnlySomeGatewaysWereTurnedAwayIsRemovedAtOnce, aGatewayThatReachedTheStore- AllTheWhileTakesNoGracePeriodFromOthers (no network), anUpstreamThatLeftWhile- TheStoreTurnedOneGatewayAwayGetsNoRequests (two gateways, one store away). Two more keep what holds in an outage for all.

--- a/src/apps/gateway/storesynchronizer.cpp
+++ b/src/apps/gateway/storesynchronizer.cpp
@@ -139,6 +139,7 @@
     for (Follower* const follower : this->followers()) {
         follower->lastSuccess = now;
         follower->lastCurrent = now;
+        follower->currentSince = now;
         follower->nextRead = now;
     }
     this->tick();
@@ -288,17 +289,63 @@
 void StoreSynchronizer::recordSuccess(Follower& follower)
 {
     const TimePoint now = this->clock.now();
-    const bool wasUnavailable = now - follower.lastSuccess >= minimumOutage + follower.pollInterval + follower.longPoll;
     if (follower.isFailing)
         logEvent(Event::LogAvailable, "",
             "topic=" + follower.topic
                 + " away_ms=" + std::to_string(Foundation::toMilliseconds(now - follower.lastSuccess)));
-    if (follower.isFailing && wasUnavailable && &follower == &this->upstreamFollower)
+    // What this process could not reach says nothing of the others. Until one of them answers, entries that are missing
+    // are taken as expired in an outage for all.
+    if (follower.isFailing && isGap(follower, now) && &follower == &this->upstreamFollower) {
         this->upstreamDirectory.extendGracePeriod(now + expiredEntryGrace);
+        this->nextQuery = now;
+    }
     follower.isFailing = false;
     follower.consecutiveFailures = 0;
     follower.lastSuccess = now;
-    follower.lastCurrent = now;
+    recordCurrent(follower, now);
+}
+
+bool StoreSynchronizer::isGap(const Follower& follower, TimePoint asOf)
+{
+    return asOf - follower.lastCurrent >= minimumOutage + follower.pollInterval + follower.longPoll;
+}
+
+void StoreSynchronizer::recordCurrent(Follower& follower, TimePoint asOf)
+{
+    if (asOf <= follower.lastCurrent)
+        return;
+    if (isGap(follower, asOf)) {
+        follower.awaySince = follower.lastCurrent;
+        follower.currentSince = asOf;
+    }
+    follower.lastCurrent = asOf;
+}
+
+void StoreSynchronizer::applyPeerOutage(const Wire::StoreCacheReply& reply)
+{
+    const TimePoint now = this->clock.now();
+    const Follower& follower = this->upstreamFollower;
+    if (reply.graceMs > 0) {
+        const TimePoint peerAwaySince = now - std::chrono::milliseconds(reply.upstreamAwayMs);
+        const bool wasServed
+            = reply.upstreamAwayMs > 0 && follower.currentSince <= peerAwaySince && !isGap(follower, now);
+        if (!wasServed)
+            this->upstreamDirectory.extendGracePeriod(now + std::chrono::milliseconds(reply.graceMs));
+        return;
+    }
+    if (!follower.awaySince || now >= this->upstreamDirectory.graceEnd())
+        return;
+    const TimePoint peerCurrentSince = now - std::chrono::milliseconds(reply.upstreamCurrentForMs);
+    const TimePoint peerCurrentUntil = now - std::chrono::milliseconds(reply.upstreamAgeMs);
+    const bool wasPeerServed = peerCurrentSince <= *follower.awaySince
+        && peerCurrentUntil + minimumOutage + follower.pollInterval >= follower.currentSince;
+    if (!wasPeerServed)
+        return;
+    logEvent(Event::OutageWasPartial, "",
+        "away_ms=" + std::to_string(Foundation::toMilliseconds(now - *follower.awaySince))
+            + " peer_current_for_ms=" + std::to_string(reply.upstreamCurrentForMs));
+    this->upstreamDirectory.endGracePeriod(now);
+    this->hasChanged = true;
 }
 
 void StoreSynchronizer::onFailure(Follower& follower, std::string_view reason)
@@ -320,7 +367,9 @@
     const auto isOverdue = [now](const Follower& follower) {
         return now - follower.lastCurrent > peerQueryDelay + follower.longPoll + follower.pollInterval;
     };
-    const bool isNeeded = isOverdue(this->operatorFollower) || isOverdue(this->upstreamFollower);
+    // In a grace period, a gateway that reached the store all the while can end it.
+    const bool isInGrace = now < this->upstreamDirectory.graceEnd();
+    const bool isNeeded = isInGrace || isOverdue(this->operatorFollower) || isOverdue(this->upstreamFollower);
     if (!isNeeded || now < this->nextQuery)
         return;
     this->nextQuery = now + peerQueryInterval;
@@ -333,6 +382,7 @@
         return;
     const std::uint64_t endBefore = this->operatorRecords.end();
     const TimePoint now = this->clock.now();
+    this->applyPeerOutage(reply);
     // This gateway missed an update if it was not connected at the time. Merging a later one would mark the missed
     // records as read, so the whole range is queried instead.
     if (reply.operatorFrom > endBefore || reply.upstreamFrom > this->upstreamRecords.end()) {
@@ -340,8 +390,6 @@
         this->handlers.queryPeer({ endBefore, this->upstreamRecords.end() });
         return;
     }
-    if (reply.graceMs > 0)
-        this->upstreamDirectory.extendGracePeriod(now + std::chrono::milliseconds(reply.graceMs));
     this->operatorRecords.mergeRange(reply.operatorRecords, reply.operatorEnd);
     // The sender publishes these records to all domain peers, so they are not published again from here.
     const std::size_t ownChangeCount = this->upstreamChanges.size();
@@ -350,7 +398,7 @@
     this->upstreamEndPublished = this->upstreamRecords.end();
     const auto recordAge = [now](Follower& follower, std::int64_t peerAgeMs) {
         follower.isListed = true;
-        follower.lastCurrent = std::max(follower.lastCurrent, now - std::chrono::milliseconds(peerAgeMs));
+        recordCurrent(follower, now - std::chrono::milliseconds(peerAgeMs));
     };
     recordAge(this->operatorFollower, reply.operatorAgeMs);
     recordAge(this->upstreamFollower, reply.upstreamAgeMs);
@@ -380,6 +428,10 @@
     reply.upstreamAgeMs = ageMs(this->upstreamFollower, this->clock.now()) + 1;
     const Duration grace = this->upstreamDirectory.graceEnd() - this->clock.now();
     reply.graceMs = std::max<std::int64_t>(0, Foundation::toMilliseconds(grace));
+    const TimePoint now = this->clock.now();
+    reply.upstreamCurrentForMs = Foundation::toMilliseconds(now - this->upstreamFollower.currentSince);
+    if (this->upstreamFollower.awaySince)
+        reply.upstreamAwayMs = Foundation::toMilliseconds(now - *this->upstreamFollower.awaySince);
     return reply;
 }
 
--- a/src/apps/gateway/storesynchronizer.h
+++ b/src/apps/gateway/storesynchronizer.h
@@ -101,6 +101,10 @@
         Foundation::TimePoint lastSuccess {};
         /** When the cached records were last complete up to the end of the topic, by a read or a peer's update. */
         Foundation::TimePoint lastCurrent {};
+        /** Since when they have been current without a gap in which entries could expire. */
+        Foundation::TimePoint currentSince {};
+        /** The start of the last such gap. */
+        std::optional<Foundation::TimePoint> awaySince;
         Foundation::TimePoint nextRead {};
         /** Incremented to discard reads that are still in flight. */
         std::uint64_t readGeneration = 0;
@@ -111,6 +115,11 @@
     void onRead(Follower& follower, Foundation::TimePoint sent, Foundation::Duration holdTime);
     void onFailure(Follower& follower, std::string_view reason);
     void recordSuccess(Follower& follower);
+    /** Records that the cached records were complete at a time, by a read or by a peer's update. */
+    static void recordCurrent(Follower& follower, Foundation::TimePoint asOf);
+    static bool isGap(const Follower& follower, Foundation::TimePoint asOf);
+    /** Starts or ends the grace period for missing upstreams by what another gateway says of the same time. */
+    void applyPeerOutage(const Wire::StoreCacheReply& reply);
     void queryPeerIfDue();
     bool isDue(const Follower& follower) const;
     void sendToDomainPeers();
--- a/src/libs/foundation/event.cpp
+++ b/src/libs/foundation/event.cpp
@@ -35,6 +35,8 @@
         "The set of failure domains whose upstreams receive no requests has changed." },
     { Event::StoreHistoryLost, "StoreHistoryLost", Severity::Info,
         "The store has dropped records before they were read; the newest record of each key is read instead." },
+    { Event::OutageWasPartial, "OutageWasPartial", Severity::Info,
+        "Another gateway reached the store all the while, so entries that are missing were removed." },
     { Event::InstanceListUnavailable, "InstanceListUnavailable", Severity::Warning,
         "The instance list cannot be read." },
     { Event::EntryIgnored, "EntryIgnored", Severity::Info,
--- a/src/libs/foundation/event.h
+++ b/src/libs/foundation/event.h
@@ -23,6 +23,7 @@
     LogAvailable = 204,
     EvacuationChanged = 206,
     StoreHistoryLost = 207,
+    OutageWasPartial = 208,
     InstanceListUnavailable = 210,
     EntryIgnored = 211,
     KnowledgeFromPeer = 212,
--- a/src/libs/membership/upstreamdirectory.cpp
+++ b/src/libs/membership/upstreamdirectory.cpp
@@ -82,6 +82,16 @@
     }
 }
 
+void UpstreamDirectory::endGracePeriod(Foundation::TimePoint now)
+{
+    this->outageGraceEnd = std::min(this->outageGraceEnd, now);
+    for (auto& [id, upstream] : this->upstreams) {
+        if (upstream.missingUntil)
+            upstream.missingUntil = now;
+    }
+    this->expire(now);
+}
+
 void UpstreamDirectory::expire(Foundation::TimePoint now)
 {
     for (auto next = this->upstreams.begin(); next != this->upstreams.end();) {
--- a/src/libs/membership/upstreamdirectory.h
+++ b/src/libs/membership/upstreamdirectory.h
@@ -73,6 +73,9 @@
     /** Starts a grace period after an outage of the list, or extends the current one up to the given time. */
     void extendGracePeriod(Foundation::TimePoint graceEnd);
 
+    /** Ends the current grace period, since the list was available to others and the missing entries were removed. */
+    void endGracePeriod(Foundation::TimePoint now);
+
     /** @return the end of the latest grace period. */
     Foundation::TimePoint graceEnd() const { return this->outageGraceEnd; }
 
--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -447,6 +447,8 @@
     visitor("operatorAge", reply.operatorAgeMs);
     visitor("upstreamAge", reply.upstreamAgeMs);
     visitor("grace", reply.graceMs);
+    visitor("currentFor", reply.upstreamCurrentForMs);
+    visitor("away", reply.upstreamAwayMs);
 }
 
 template <typename T> constexpr bool belongsToAttempt = requires(T message) { message.attempt; };
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -254,6 +254,10 @@
     std::int64_t upstreamAgeMs = 0;
     /** The remaining grace period for entries of upstreams that expired during an outage of the store, in ms. */
     std::int64_t graceMs = 0;
+    /** For how long the sender's upstream topic has been current without a gap in which entries could expire, in ms. */
+    std::int64_t upstreamCurrentForMs = 0;
+    /** The time since the start of the last such gap, in ms; 0 if there was none. */
+    std::int64_t upstreamAwayMs = 0;
 };
 
 /** Any message. The index of a type in this list is its number on the wire, so the order must not change. */
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -451,6 +451,7 @@
     {
         GatewaySettings settings = makeSettings(storePort);
         settings.node.name = "gateway-2";
+        settings.node.failureDomain = "b";
         settings.node.seeds = std::move(seeds);
         return settings;
     }
@@ -556,3 +557,39 @@
     this->gatewayPort = started.port;
     LONGS_EQUAL(200, this->call("/unsafe/x", "POST").result.status);
 }
+
+TEST(GatewayCrashTest, anUpstreamThatLeftWhileTheStoreTurnedOneGatewayAwayGetsNoRequests)
+{
+    this->startGateway("app");
+    AnotherGateway served(*this, { this->settings.node.peerEndpoint.text() });
+    this->runFor(1s);
+    this->store.setUnavailable(true);
+    this->runFor(2'900ms);
+    this->store.removeKey("keyed.servers", "one");
+    served.store.removeKey("keyed.servers", "one");
+    this->runFor(20ms);
+    this->store.setUnavailable(false);
+    this->runFor(1s);
+    this->upstreamOne.startedRequests.clear();
+    for (int i = 0; i < 6; ++i)
+        LONGS_EQUAL(200, this->call("/safe/x" + std::to_string(i)).result.status);
+    UNSIGNED_LONGS_EQUAL(0, this->upstreamOne.startedRequests.size());
+}
+
+TEST(GatewayCrashTest, anUpstreamWhoseEntryExpiredInAnOutageForAllStaysInUse)
+{
+    this->startGateway("app");
+    AnotherGateway alsoAway(*this, { this->settings.node.peerEndpoint.text() });
+    this->runFor(1s);
+    this->store.setUnavailable(true);
+    alsoAway.store.setUnavailable(true);
+    this->runFor(2'900ms);
+    for (const char* const id : { "one", "two" }) {
+        this->store.removeKey("keyed.servers", id);
+        alsoAway.store.removeKey("keyed.servers", id);
+    }
+    this->store.setUnavailable(false);
+    alsoAway.store.setUnavailable(false);
+    CHECK_TRUE(this->runUntil([this] { return this->core.isReady(); }));
+    LONGS_EQUAL(200, this->call("/safe/x").result.status);
+}
--- a/tests/auto/gateway/tst_storesynchronizer.cpp
+++ b/tests/auto/gateway/tst_storesynchronizer.cpp
@@ -29,6 +29,13 @@
     return update;
 }
 
+StoreCache::KeyedRecord makeUpstreamRecord(const char* id, std::uint64_t offset)
+{
+    return { id,
+        R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":4,"state":"ready","cold_left_ms":0,"version":"v1","born":1,"sequence":1})",
+        offset };
+}
+
 } // namespace
 
 TEST_GROUP(StoreSynchronizerTest)
@@ -54,6 +61,29 @@
         this->bootClock.advance(1h);
     }
 
+    // An update of the upstreams' topic from a gateway that has been current for so long.
+    void receiveUpstreams(std::uint64_t from, std::vector<StoreCache::KeyedRecord> records,
+        Foundation::Duration currentFor, Foundation::Duration grace = {}, Foundation::Duration away = {})
+    {
+        Wire::StoreCacheReply update;
+        update.hasCachedState = true;
+        update.upstreamFrom = from;
+        update.upstreamEnd = from + records.size();
+        update.upstreamRecords = std::move(records);
+        update.upstreamCurrentForMs = Foundation::toMilliseconds(currentFor);
+        update.graceMs = Foundation::toMilliseconds(grace);
+        update.upstreamAwayMs = Foundation::toMilliseconds(away);
+        this->synchronizer.onReply(update);
+    }
+
+    void advance(Foundation::Duration time)
+    {
+        this->clock.advance(time);
+        this->bootClock.advance(time);
+    }
+
+    bool isListed(const char* id) { return this->synchronizer.directory().find(id) != nullptr; }
+
     // Simulates ten seconds in which the store does not answer.
     double countFailuresInOutage()
     {
@@ -128,3 +158,47 @@
     CHECK_TRUE(failures >= 2 * 12);
     CHECK_TRUE(failures <= 3 * 25);
 }
+
+TEST(StoreSynchronizerTest, anUpstreamThatLeftWhileOnlySomeGatewaysWereTurnedAwayIsRemovedAtOnce)
+{
+    this->synchronizer.start();
+    this->receiveUpstreams(0, { makeUpstreamRecord("x", 0) }, 60s);
+    // This gateway and the reader of its failure domain lose the store, and the reader is the first to be back.
+    this->advance(7s);
+    this->receiveUpstreams(1, { { "x", std::nullopt, 1 } }, 100ms, 2'500ms, 7s);
+    CHECK_TRUE(this->isListed("x"));
+    this->advance(100ms);
+    this->receiveUpstreams(2, {}, 60s);
+    CHECK_FALSE(this->isListed("x"));
+}
+
+TEST(StoreSynchronizerTest, aGatewayThatReachedTheStoreAllTheWhileTakesNoGracePeriodFromOthers)
+{
+    this->synchronizer.start();
+    this->receiveUpstreams(0, { makeUpstreamRecord("x", 0) }, 60s);
+    for (int i = 0; i < 10; ++i) {
+        this->advance(1s);
+        this->receiveUpstreams(1, {}, 60s);
+    }
+    this->receiveUpstreams(1, { { "x", std::nullopt, 1 } }, 100ms, 2'500ms, 7s);
+    CHECK_FALSE(this->isListed("x"));
+}
+
+TEST(StoreSynchronizerTest, anEntryThatExpiredInAnOutageForAllStaysInUseForTheGracePeriod)
+{
+    this->synchronizer.start();
+    this->receiveUpstreams(0, { makeUpstreamRecord("x", 0) }, 60s);
+    this->advance(7s);
+    this->receiveUpstreams(1, { { "x", std::nullopt, 1 } }, 100ms, 2'500ms, 7s);
+    // Another gateway that was away as well, and one that is still away.
+    this->receiveUpstreams(2, {}, 200ms);
+    Wire::StoreCacheReply stillAway;
+    stillAway.hasCachedState = true;
+    stillAway.upstreamCurrentForMs = 60'000;
+    stillAway.upstreamAgeMs = 7'100;
+    this->synchronizer.onReply(stillAway);
+    CHECK_TRUE(this->isListed("x"));
+    this->advance(3s);
+    this->synchronizer.tick();
+    CHECK_FALSE(this->isListed("x"));
+}
