Do not refuse a stream that has begun, nor give it up without a place for it

Cause: the queue orders by how much of the time to the first event is left, so a stream that has begun and is late went behind everything that waits, and it was refused when the wait ahead of it, or the time since its target, seemed too long.

Now such a stream goes first and is placed as soon as an engine has room. It is given up after silence only if an engine could go on with it before its caller leaves; else its upstream may still continue.

--- a/src/apps/gateway/dispatcher.cpp
+++ b/src/apps/gateway/dispatcher.cpp
@@ -209,6 +209,18 @@
     return Placement::placePrompt(this->queues.find(pending.criteria.service)->second.model(), candidates, demand);
 }
 
+bool Dispatcher::hasRoom(const PendingPrompt& pending)
+{
+    if (!this->queues.contains(pending.criteria.service))
+        return false;
+    const TimePoint now = this->clock.now();
+    Placement::QueuedPrompt prompt = pending.prompt;
+    prompt.demand.weight = Placement::promptWeight(prompt.demand.promptTokens);
+    prompt.demand.timeToFirstEventTarget = prompt.firstEventTargetAt - now;
+    const auto placement = this->place(prompt, pending);
+    return placement && now + placement->timeToFirstEvent <= prompt.callerTimeoutAt;
+}
+
 void Dispatcher::dispatch(Placement::QueuedPromptId id, const Placement::PromptPlacement& placement)
 {
     const auto found = this->pendingPrompts.find(id);
--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -204,7 +204,7 @@
         this->fail(this->sends == 0 ? ResultCode::NoUpstream : ResultCode::UpstreamRejected, defaultRetryAfter);
 }
 
-void ProxiedRequest::enqueuePrompt()
+PendingPrompt ProxiedRequest::makePendingPrompt() const
 {
     PendingPrompt pending;
     pending.criteria = this->criteria;
@@ -216,11 +216,26 @@
     pending.prompt.firstEventTarget = this->route->firstEventTarget;
     pending.prompt.callerTimeoutAt
         = std::min(this->deadline, this->lastDeliveredAt + PlatformAdapter::streamEventTimeout(*this->route));
+    // A stream that has begun waits as long as its caller does.
     pending.prompt.maximumWaitPastTarget = this->hasStreamBegun
-        ? this->timeLeft()
+        ? pending.prompt.callerTimeoutAt - pending.prompt.firstEventTargetAt
         : std::max(Duration::zero(), minimumCallerWait - this->route->firstEventTarget);
     pending.prompt.priority
         = this->account && this->account->priority ? *this->account->priority : this->route->priority;
+    pending.prompt.hasBegun = this->hasStreamBegun;
+    return pending;
+}
+
+PendingPrompt ProxiedRequest::makeNextPrompt() const
+{
+    PendingPrompt next = this->makePendingPrompt();
+    next.criteria.triedGenerations.insert(this->attempt->assignment.upstreamGeneration);
+    return next;
+}
+
+void ProxiedRequest::enqueuePrompt()
+{
+    PendingPrompt pending = this->makePendingPrompt();
     const std::weak_ptr<ProxiedRequest> weak = this->weak_from_this();
     pending.onAssigned = [weak](const Assignment& assignment) {
         const auto self = weak.lock();
@@ -745,6 +760,8 @@
     }
     // The upstream may still continue the answer, so silence ends the attempt only if the request can fail over.
     const FailoverAction action = Relay::chooseFailoverAction(this->progressAfter(RunOutcome::MayHaveRun));
+    if (action == FailoverAction::Resume && !this->context.dispatcher.hasRoom(this->makeNextPrompt()))
+        return;
     if (action == FailoverAction::Fail || !this->context.retryBudget.trySpend(this->criteria.service, now))
         return;
     this->recordUnansweredAttempt("silent");
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -109,6 +109,9 @@
     bool refuseIfQuarantined();
     void dispatch();
     void enqueuePrompt();
+    PendingPrompt makePendingPrompt() const;
+    /** Returns the prompt as it would be queued if the current attempt ended now. */
+    PendingPrompt makeNextPrompt() const;
     void beginAttempt(const Assignment& assignment);
     void reserveHelperMemory();
     void sendAttempt(const std::vector<std::string>& leaseNames);
--- a/src/libs/placement/promptqueue.cpp
+++ b/src/libs/placement/promptqueue.cpp
@@ -57,7 +57,8 @@
 bool PromptQueue::precedes(const QueuedPrompt& a, const QueuedPrompt& b) const
 {
     const auto key = [this](const QueuedPrompt& prompt) {
-        return std::tuple(prompt.priority, !isShortPrompt(this->engineModel, prompt.demand), prompt.firstEventTargetAt);
+        return std::tuple(!prompt.hasBegun, prompt.priority, !isShortPrompt(this->engineModel, prompt.demand),
+            prompt.firstEventTargetAt);
     };
     return key(a) < key(b);
 }
@@ -65,6 +66,8 @@
 PromptQueue::Decision PromptQueue::decide(
     const QueuedPrompt& prompt, const PromptPlacement& placement, Duration fastest) const
 {
+    if (prompt.hasBegun)
+        return Decision::Dispatch;
     const double weight = prompt.demand.weight;
     const bool meetsTarget = placement.timeToFirstEvent <= prompt.demand.timeToFirstEventTarget;
     const double tolerableFraction
@@ -88,7 +91,7 @@
     // Prompts that will miss their target anyway must not make others miss theirs.
     std::stable_partition(batch.begin(), batch.end(), [&](const QueuedPrompt& prompt) {
         const Duration fastest = minimumTimeToFirstEvent(this->engineModel, prompt.demand.promptTokens, engineCount);
-        return prompt.firstEventTargetAt - now > scaled(fastest, usualDelayFactor);
+        return prompt.hasBegun || prompt.firstEventTargetAt - now > scaled(fastest, usualDelayFactor);
     });
     Duration queuedPrefill {};
     const double queueTimeFactor
--- a/src/libs/placement/promptqueue.h
+++ b/src/libs/placement/promptqueue.h
@@ -28,6 +28,8 @@
     Foundation::Duration maximumWaitPastTarget {};
     /** 0 is the most urgent. */
     int priority = 0;
+    /** Whether the caller has received a part of the answer, so that a refusal would break the answer off. */
+    bool hasBegun = false;
 };
 
 /** Callbacks that place, dispatch and refuse prompts. The queue calls them only while it schedules. */
@@ -46,7 +48,8 @@
  * Orders them when there are more long prompts than can be prefilled beside the streams in flight: short prompts go
  * first, long ones follow by first-event target. A prompt whose prefill would delay streams waits as long as it can
  * still meet its target; then it is dispatched if its weight exceeds the cost of the delay. A prompt that cannot be
- * answered before its caller times out is refused at once.
+ * answered before its caller times out is refused at once. A prompt whose answer has begun goes before all others and
+ * is dispatched as soon as an engine has room.
  */
 class PromptQueue {
 public:
--- a/tests/auto/placement/tst_promptqueue.cpp
+++ b/tests/auto/placement/tst_promptqueue.cpp
@@ -364,6 +364,31 @@
     CHECK_TRUE(this->retryAfter >= 3s);
 }
 
+TEST(PromptQueueTest, aStreamThatHasBegunIsNotRefusedBehindLongPromptsThatWait)
+{
+    const TimePoint now = TimePoint {} + 10s;
+    for (QueuedPromptId id = 1; id <= 40; ++id)
+        this->queue.add(queuedPrompt(id, 182'000, 3s, 1s, now));
+    QueuedPrompt begun = queuedPrompt(41, 5'000, 250ms, 250ms, now - 1'300ms);
+    begun.callerTimeoutAt = now + 800ms;
+    begun.maximumWaitPastTarget = begun.callerTimeoutAt - begun.firstEventTargetAt;
+    begun.hasBegun = true;
+    this->queue.add(begun);
+    this->place = [](const QueuedPrompt&) { return std::nullopt; };
+    this->schedule(now);
+    CHECK_TRUE(std::ranges::find(this->refused, 41U) == this->refused.end());
+    // Its cost for other streams does not matter.
+    this->place = [](const QueuedPrompt& prompt) -> std::optional<PromptPlacement> {
+        if (prompt.id != 41)
+            return std::nullopt;
+        PromptPlacement placement;
+        placement.streamDelayCost = 1e9;
+        return placement;
+    };
+    this->schedule(now + 500ms);
+    CHECK_TRUE(this->dispatched == std::vector<QueuedPromptId>({ 41 }));
+}
+
 TEST(PromptQueueTest, aPromptIsRefusedAtOnceWithoutEngines)
 {
     this->place = [](const QueuedPrompt&) { return std::nullopt; };
