--- a/src/libs/application/processsettings.cpp
+++ b/src/libs/application/processsettings.cpp
@@ -36,7 +36,7 @@
     settings.heartbeatInterval = std::chrono::milliseconds(reader.integer("heartbeatIntervalMs", 20, 60'000, 500));
     settings.connectionTimeout = std::chrono::milliseconds(reader.integer("connectionTimeoutMs", 60, 300'000, 1'500));
     settings.answerMemoryBytes
-        = static_cast<std::size_t>(reader.integer("answerMemoryMb", 1, 1'000'000, 256)) * bytesPerMegabyte;
+        = static_cast<std::size_t>(reader.integer("answerMemoryMb", 1, 1'000'000, 64)) * bytesPerMegabyte;
     if (settings.connectionTimeout < 2 * settings.heartbeatInterval)
         reader.fail("connectionTimeoutMs", "must be at least twice heartbeatIntervalMs");
     return settings;
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -373,6 +373,32 @@
     LONGS_EQUAL(1, this->store.appends);
 }
 
+TEST(GatewayTest, aLongAnswerIsForwardedWhole)
+{
+    this->startGateway("app");
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::AnswerLong;
+    const Answer answer = this->call("/safe/x");
+    CHECK_TRUE(answer.result.isSuccess());
+    UNSIGNED_LONGS_EQUAL(longAnswerBytes, answer.body.size());
+}
+
+TEST(GatewayTest, aLongStreamIsForwardedWholeToACallerWhoReadsSlowly)
+{
+    this->startGateway("llm");
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::AnswerLong;
+    const auto answer = std::make_shared<Answer>();
+    const Platform::CallId call = this->send("/stream/x", answer, "POST");
+    while (!answer->isFinished) {
+        this->callerTransfers.pause(call);
+        this->runFor(4ms);
+        this->callerTransfers.resume(call);
+        this->runFor(1ms);
+    }
+    CHECK_TRUE(answer->result.isSuccess());
+    CHECK_TRUE(answer->body.size() > longAnswerBytes);
+    CHECK_TRUE(answer->body.ends_with("xxxx\n\n"));
+}
+
 TEST_GROUP_BASE(GatewayCrashTest, TEST_GROUP_CppUTestGroupGatewayTest)
 {
     static constexpr int crashLimit = 3;
--- a/tests/standins/standinupstream.cpp
+++ b/tests/standins/standinupstream.cpp
@@ -62,6 +62,12 @@
         exchange->respond(
             { 200, "text/plain", { { "X-Attempt-Id", "other" }, { "X-Response-Signature", "s" } }, "foreign", false });
         break;
+    case UpstreamBehaviour::AnswerLong:
+        if (isStream)
+            this->answerStream(*exchange, 1);
+        else
+            exchange->respond(makeSignedReply(request, 200, std::string(longAnswerBytes, 'x')));
+        break;
     case UpstreamBehaviour::PauseMidStream:
         this->answerStreamWithPause(exchange);
         break;
@@ -90,6 +96,11 @@
         }
         exchange.write(makeEvent(event));
     }
+    if (this->behaviour == UpstreamBehaviour::AnswerLong) {
+        const std::string event = "data: " + std::string(10'000, 'x') + "\n\n";
+        for (std::size_t sent = 0; sent < longAnswerBytes; sent += event.size())
+            exchange.write(event);
+    }
     exchange.finish();
 }
 
--- a/tests/standins/standinupstream.h
+++ b/tests/standins/standinupstream.h
@@ -31,8 +31,13 @@
     PauseMidStream,
     /** Rejects requests with prefill helpers and names the first helper as the cause. */
     BlameHelper,
+    /** Answers with several MB, as a call or as a stream of many events. */
+    AnswerLong,
 };
 
+/** The size of the long answer of a call, and about that of a stream. */
+constexpr std::size_t longAnswerBytes = 8'000'000;
+
 /** Stand-in for an upstream: answers requests, streams five events, and simulates the faults of UpstreamBehaviour. */
 class StandinUpstream {
 public:
