Fail silent streams over at services without engines, and count no rejection

Found when reading the diff: since streams are given up only if an engine has room, one at a service without engines would never be given up after silence. hasRoom is true for such a service. A caller who leaves while a rejection's body arrives records no possible crash any more. An answer without a head is named as such instead of relying on the client library never to report one. tst_gateway: 52 of 52.

--- a/src/apps/gateway/dispatcher.cpp
+++ b/src/apps/gateway/dispatcher.cpp
@@ -212,7 +212,7 @@
 bool Dispatcher::hasRoom(const PendingPrompt& pending)
 {
     if (!this->queues.contains(pending.criteria.service))
-        return false;
+        return true;
     const TimePoint now = this->clock.now();
     Placement::QueuedPrompt prompt = pending.prompt;
     prompt.demand.weight = Placement::promptWeight(prompt.demand.promptTokens);
--- a/src/apps/gateway/dispatcher.h
+++ b/src/apps/gateway/dispatcher.h
@@ -94,8 +94,10 @@
      */
     Placement::QueuedPromptId enqueue(PendingPrompt pending);
 
-    /** Returns whether an engine could begin to answer a prompt before its caller times out. Must not be called while
-     * the queues are scheduled. */
+    /**
+     * Returns whether an engine could begin to answer a prompt before its caller times out; true for services without
+     * engines. Must not be called while the queues are scheduled.
+     */
     bool hasRoom(const PendingPrompt& pending);
 
     /** Removes a prompt from its queue without calling its callbacks. */
--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -546,6 +546,8 @@
 {
     if (result.outcome != Platform::CallOutcome::Complete)
         return result.error;
+    if (!this->attempt->head)
+        return "the answer has no head";
     if (!this->attempt->isStream)
         return {};
     if (this->events.isInsideEvent())
@@ -773,7 +775,7 @@
 void ProxiedRequest::recordUnansweredAttempt(std::string_view ending)
 {
     // A call of 0 means that the attempt still reserves memory, so no upstream has received it.
-    if (this->attempt->call == 0)
+    if (this->attempt->call == 0 || this->attempt->isRejected())
         return;
     const Duration silence = this->context.clock.now() - this->attempt->lastDataAt;
     logEvent(Event::AttemptFinished, this->request.id,
