Follow a store that comes back from an older copy by its era

Callers got the old document for good: after the store came back from a copy, the versions that the operator wrote next were never in force at any gateway, and the gateways' addresses were never written again.

Cause: the store's offset alone decided which record is the newest, and a copy gives offsets out again. Reads from an offset that the copy does not have gave 410 and a new listing, whose records were all older by their offsets.

Without a network: nine tests and a property over any order of replies and any number of eras in tst_storesynchronizer; three with a stand-in store that is restored in tst_gateway.

--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -111,6 +111,7 @@
               [this](const Wire::StoreCacheQuery& query) { return this->peers.sendQuery(query); },
               [this](const Wire::StoreCacheReply& update) { this->peers.sendToDomainPeers(update); },
               [this](const StoreCache::KeyedRecord& record) { this->suspectStore.onRecord(record); },
+              [this](Duration delay) { this->suspectStore.onNewEra(delay); },
               [this] { return this->peers.domainRank(); } })
     , suspectStore(this->storeSynchronizer.storeClient(), this->clock, this->wallClock, this->suspects)
     , dispatcher(this->clock, this->storeSynchronizer.directory(), this->health, this->ledger,
--- a/src/apps/gateway/storesynchronizer.cpp
+++ b/src/apps/gateway/storesynchronizer.cpp
@@ -1,5 +1,6 @@
 #include "storesynchronizer.h"
 
+#include <foundation/identifier.h>
 #include <foundation/logging.h>
 
 #include "platform/policydecoder.h"
@@ -45,6 +46,11 @@
 constexpr Duration peerQueryInterval = std::chrono::milliseconds(400);
 // Entries that expired during a store outage are written again about two seconds after its end.
 constexpr Duration expiredEntryGrace = std::chrono::milliseconds(2'500);
+// After the store has come back from an older copy, the operator and the upstreams write again what the copy lacks.
+// Until then evacuations stay as they were, and reads do not prove that a key is still valid.
+constexpr Duration eraSettleTime = expiredEntryGrace;
+// Spreads what the gateways write again.
+constexpr Duration maximumRewriteDelay = std::chrono::milliseconds(800);
 // No entry expires in an outage shorter than this.
 constexpr Duration minimumOutage = std::chrono::milliseconds(800);
 // The greatest age of the cached state at which keys are accepted, as a fraction of the time in which a revoked key
@@ -103,12 +109,17 @@
     , operatorRecords([this](const KeyedRecord& record) { this->onOperatorRecord(record); })
     , upstreamRecords([this](const KeyedRecord& record) { this->onUpstreamRecord(record); })
     , peerRecords([this](const KeyedRecord& record) { this->onPeerRecord(record); })
-    , suspectRecords([this](const KeyedRecord& record) { this->handlers.onSuspectRecord(record); })
+    , suspectRecords([this](const KeyedRecord& record) {
+        // What an older copy lacks was not removed.
+        if (record.value || !this->isMergingCopy)
+            this->handlers.onSuspectRecord(record);
+    })
     , policyCell(nullptr)
     , upstreamDirectory([this](UpstreamDirectory::Change change, const Membership::Upstream& upstream) {
         this->onUpstreamChange(change, upstream);
     })
 {
+    this->store.setEraHandler([this](std::uint64_t newEra) { this->beginEra(newEra); });
     this->operatorFollower.topic = PlatformAdapter::Topic::operatorRecords;
     this->operatorFollower.records = &this->operatorRecords;
     this->operatorFollower.longPoll = operatorLongPoll;
@@ -170,6 +181,8 @@
     }
     this->queryPeerIfDue();
     this->upstreamDirectory.expire(now);
+    if (this->isEvacuationUpdatePending && !this->isSettling())
+        this->updateEvacuated();
     const bool isStale = this->policy() && !this->canAcceptKeys();
     if (isStale && !this->wasStale)
         logEvent(Event::KnowledgeStale, "", "age_ms=" + ageText(this->cacheAge()));
@@ -236,7 +249,12 @@
             }
             follower.isListed = true;
             this->recordSuccess(follower);
-            follower.records->mergeListing(std::move(listing.value().records), listing.value().end);
+            this->isMergingCopy = std::exchange(follower.isCopyUnread, false);
+            if (this->isMergingCopy)
+                this->beginSettling(follower);
+            follower.records->mergeListing(
+                std::move(listing.value().records), listing.value().end, listing.value().era);
+            this->isMergingCopy = false;
             this->onRead(follower, sent, {});
         });
         return;
@@ -258,7 +276,7 @@
             }
             // An empty result means that the long poll ran to its end, so nothing was written until then.
             const bool isEmpty = range.value().records.empty();
-            follower.records->mergeRange(std::move(range.value().records), range.value().end);
+            follower.records->mergeRange(std::move(range.value().records), range.value().end, range.value().era);
             this->onRead(follower, sent, isEmpty ? follower.longPoll : Duration::zero());
         });
 }
@@ -267,16 +285,67 @@
 {
     follower.isReading = false;
     follower.nextRead = this->clock.now() + follower.pollInterval;
-    if (&follower == &this->operatorFollower)
+    if (&follower == &this->operatorFollower && !this->isSettling())
         this->freshness.recordCurrentAsOf(std::min(sent + holdTime, this->bootClock.now()));
     if (!follower.isReadByAll)
         this->sendToDomainPeers();
     this->tick();
 }
 
+void StoreSynchronizer::beginEra(std::uint64_t newEra)
+{
+    if (newEra <= this->era)
+        return;
+    const TimePoint now = this->clock.now();
+    const bool isFirst = this->era == 0 && !this->operatorFollower.isListed && !this->upstreamFollower.isListed;
+    const std::uint64_t previous = std::exchange(this->era, newEra);
+    for (Follower* const follower : this->followers())
+        follower->records->beginEra(newEra);
+    if (isFirst)
+        return;
+    const Duration delay = std::chrono::milliseconds(
+        Foundation::randomBelow(static_cast<std::uint64_t>(Foundation::toMilliseconds(maximumRewriteDelay))));
+    logEvent(Event::StoreEraChanged, "",
+        "era=" + std::to_string(newEra) + " before=" + std::to_string(previous)
+            + " upstreams=" + std::to_string(this->upstreamDirectory.size())
+            + " policy=" + std::to_string(this->policy() ? this->policy()->version() : 0)
+            + " evacuated=" + std::to_string(this->upstreamDirectory.evacuated().size())
+            + " rewrite_delay_ms=" + std::to_string(Foundation::toMilliseconds(delay)));
+    this->resetReads();
+    for (Follower* const follower : this->followers())
+        follower->isListed = false;
+    for (Follower* const follower : this->followers())
+        follower->isCopyUnread = true;
+    this->operatorEndPublished = 0;
+    this->upstreamEndPublished = 0;
+    this->upstreamChanges.clear();
+    // An entry that the copy lacks may be written again until then, whoever reached the store meanwhile.
+    this->upstreamFollower.awaySince = this->upstreamFollower.lastCurrent;
+    this->upstreamFollower.currentSince = now;
+    this->upstreamDirectory.extendGracePeriod(now + expiredEntryGrace);
+    this->isRegistered = false;
+    this->nextRegistration = now + delay;
+    this->handlers.onNewEra(delay);
+}
+
+void StoreSynchronizer::beginSettling(const Follower& follower)
+{
+    const TimePoint now = this->clock.now();
+    if (&follower == &this->operatorFollower)
+        this->eraSettledAt = now + eraSettleTime;
+    if (&follower == &this->upstreamFollower)
+        this->upstreamDirectory.extendGracePeriod(now + expiredEntryGrace);
+}
+
+bool StoreSynchronizer::isSettling() const
+{
+    return this->operatorFollower.isCopyUnread || this->clock.now() < this->eraSettledAt;
+}
+
 void StoreSynchronizer::sendToDomainPeers()
 {
-    Wire::StoreCacheReply update = this->answerQuery({ this->operatorEndPublished, this->upstreamRecords.end() });
+    Wire::StoreCacheReply update
+        = this->answerQuery({ this->operatorEndPublished, this->upstreamRecords.end(), this->era });
     if (!update.hasCachedState)
         return;
     update.upstreamRecords = std::exchange(this->upstreamChanges, {});
@@ -373,13 +442,14 @@
     if (!isNeeded || now < this->nextQuery)
         return;
     this->nextQuery = now + peerQueryInterval;
-    this->handlers.queryPeer({ this->operatorRecords.end(), this->upstreamRecords.end() });
+    this->handlers.queryPeer({ this->operatorRecords.end(), this->upstreamRecords.end(), this->era });
 }
 
 void StoreSynchronizer::onReply(const Wire::StoreCacheReply& reply)
 {
-    if (!reply.hasCachedState)
+    if (!reply.hasCachedState || reply.era < this->era)
         return;
+    this->beginEra(reply.era);
     const std::uint64_t endBefore = this->operatorRecords.end();
     const TimePoint now = this->clock.now();
     this->applyPeerOutage(reply);
@@ -387,13 +457,19 @@
     // records as read, so the whole range is queried instead.
     if (reply.operatorFrom > endBefore || reply.upstreamFrom > this->upstreamRecords.end()) {
         this->nextQuery = now + peerQueryInterval;
-        this->handlers.queryPeer({ endBefore, this->upstreamRecords.end() });
+        this->handlers.queryPeer({ endBefore, this->upstreamRecords.end(), this->era });
         return;
     }
-    this->operatorRecords.mergeRange(reply.operatorRecords, reply.operatorEnd);
+    this->isMergingCopy = this->upstreamFollower.isCopyUnread;
+    for (Follower* const follower : { &this->operatorFollower, &this->upstreamFollower }) {
+        if (std::exchange(follower->isCopyUnread, false))
+            this->beginSettling(*follower);
+    }
+    this->operatorRecords.mergeRange(reply.operatorRecords, reply.operatorEnd, reply.era);
     // The sender publishes these records to all domain peers, so they are not published again from here.
     const std::size_t ownChangeCount = this->upstreamChanges.size();
-    this->upstreamRecords.mergeRange(reply.upstreamRecords, reply.upstreamEnd);
+    this->upstreamRecords.mergeRange(reply.upstreamRecords, reply.upstreamEnd, reply.era);
+    this->isMergingCopy = false;
     this->upstreamChanges.resize(ownChangeCount);
     this->upstreamEndPublished = this->upstreamRecords.end();
     const auto recordAge = [now](Follower& follower, std::int64_t peerAgeMs) {
@@ -402,8 +478,9 @@
     };
     recordAge(this->operatorFollower, reply.operatorAgeMs);
     recordAge(this->upstreamFollower, reply.upstreamAgeMs);
-    this->freshness.recordCurrentAsOf(
-        this->bootClock.now() - networkDelayAllowance - std::chrono::milliseconds(reply.operatorAgeMs));
+    if (!this->isSettling())
+        this->freshness.recordCurrentAsOf(
+            this->bootClock.now() - networkDelayAllowance - std::chrono::milliseconds(reply.operatorAgeMs));
     this->metrics.counter("bluebell_knowledge_from_peers_total").fetch_add(1);
     if (reply.operatorEnd > endBefore)
         logEvent(Event::KnowledgeFromPeer, "",
@@ -418,10 +495,12 @@
     reply.hasCachedState = age && this->operatorFollower.isListed && this->upstreamFollower.isListed;
     if (!reply.hasCachedState)
         return reply;
-    reply.operatorRecords = this->operatorRecords.recordsFrom(query.operatorEnd);
-    reply.upstreamRecords = this->upstreamRecords.recordsFrom(query.upstreamEnd);
-    reply.operatorFrom = query.operatorEnd;
-    reply.upstreamFrom = query.upstreamEnd;
+    // Offsets of another era say nothing here, so the sender gets all records.
+    reply.era = this->era;
+    reply.operatorFrom = query.era == this->era ? query.operatorEnd : 0;
+    reply.upstreamFrom = query.era == this->era ? query.upstreamEnd : 0;
+    reply.operatorRecords = this->operatorRecords.recordsFrom(reply.operatorFrom);
+    reply.upstreamRecords = this->upstreamRecords.recordsFrom(reply.upstreamFrom);
     reply.operatorEnd = this->operatorRecords.end();
     reply.upstreamEnd = this->upstreamRecords.end();
     reply.operatorAgeMs = Foundation::toMilliseconds(*age) + 1;
@@ -482,6 +561,9 @@
 
 void StoreSynchronizer::updateEvacuated()
 {
+    this->isEvacuationUpdatePending = this->isSettling();
+    if (this->isEvacuationUpdatePending)
+        return;
     std::set<std::string, std::less<>> domains;
     std::string names;
     for (const auto& [key, record] : this->operatorRecords.all()) {
@@ -507,6 +589,11 @@
         this->upstreamDirectory.remove(record.key, now);
         return;
     }
+    if (entry && this->isMergingCopy && this->upstreamDirectory.isSuperseded(*entry)) {
+        // What the upstream writes itself is read again, although it may look the same.
+        this->upstreamDigests.erase(record.key);
+        return;
+    }
     if (entry) {
         this->upstreamDirectory.update(*entry, now);
         return;
--- a/src/apps/gateway/storesynchronizer.h
+++ b/src/apps/gateway/storesynchronizer.h
@@ -41,6 +41,8 @@
         std::function<void(const Wire::StoreCacheReply&)> sendToDomainPeers;
         /** Called with each new record of a crash in the store; the record of a deleted key has no value. */
         std::function<void(const StoreCache::KeyedRecord&)> onSuspectRecord;
+        /** Called when the store has come back from an older copy, with a delay that differs between the gateways. */
+        std::function<void(Foundation::Duration delay)> onNewEra;
         /** Returns the number of connected gateways of this failure domain that precede this one as reader. */
         std::function<std::size_t()> domainRank;
     };
@@ -95,6 +97,8 @@
         bool isReadByAll = false;
         /** Whether a listing was merged; from then on only new records are read. */
         bool isListed = false;
+        /** Whether the store has come back from an older copy that has not been read yet. */
+        bool isCopyUnread = false;
         bool isReading = false;
         bool isFailing = false;
         int consecutiveFailures = 0;
@@ -120,6 +124,12 @@
     static bool isGap(const Follower& follower, Foundation::TimePoint asOf);
     /** Starts or ends the grace period for missing upstreams by what another gateway says of the same time. */
     void applyPeerOutage(const Wire::StoreCacheReply& reply);
+    /** Reads all topics again, and keeps what is known until the operator and the upstreams have written again. */
+    void beginEra(std::uint64_t newEra);
+    /** Returns whether the store has come back from an older copy so recently that records may be missing there. */
+    bool isSettling() const;
+    /** Starts the time in which the writers of a topic write again, once its older copy is read. */
+    void beginSettling(const Follower& follower);
     void queryPeerIfDue();
     bool isDue(const Follower& follower) const;
     void sendToDomainPeers();
@@ -147,6 +157,12 @@
     Follower upstreamFollower;
     Follower peerFollower;
     Follower suspectFollower;
+    /** The era of the store; 0 before it named one. */
+    std::uint64_t era = 0;
+    Foundation::TimePoint eraSettledAt {};
+    /** Whether the records that are merged may be from an older copy of the store. */
+    bool isMergingCopy = false;
+    bool isEvacuationUpdatePending = false;
     StoreCache::Freshness freshness;
     Foundation::RcuCell<Policy::TrafficPolicy> policyCell;
     Membership::UpstreamDirectory upstreamDirectory;
--- a/src/apps/gateway/suspectstore.cpp
+++ b/src/apps/gateway/suspectstore.cpp
@@ -20,6 +20,8 @@
 constexpr Duration retryDelay = std::chrono::seconds(1);
 // Bounds the memory for what is queued and known while the store is away; bystanders are not stored.
 constexpr std::size_t maximumKeys = 4096;
+// Longer than a copy of the store may be old.
+constexpr Duration removalRetention = std::chrono::minutes(1);
 constexpr char keySeparator = '/';
 constexpr const char* crashField = "crash";
 constexpr const char* certaintyField = "certainty";
@@ -78,6 +80,7 @@
         if (!isNew && !isRaised)
             continue;
         stored->second = notice.certainty;
+        this->removedKeys.erase(key);
         this->queue(key, this->encode(notice));
     }
     this->tick();
@@ -89,6 +92,7 @@
     for (auto next = this->storedKeys.lower_bound(prefix);
          next != this->storedKeys.end() && next->first.starts_with(prefix);) {
         this->queue(next->first, std::nullopt);
+        this->removedKeys[next->first] = { this->clock.now(), this->era };
         next = this->storedKeys.erase(next);
     }
     this->tick();
@@ -103,9 +107,31 @@
         this->remove(fingerprint);
 }
 
+void SuspectStore::onNewEra(Duration delay)
+{
+    const Foundation::TimePoint now = this->clock.now();
+    std::erase_if(
+        this->removedKeys, [now](const auto& removed) { return now - removed.second.time >= removalRetention; });
+    for (const auto& [key, removal] : this->removedKeys)
+        this->queue(key, std::nullopt);
+    for (const std::string& fingerprint : this->observed) {
+        for (const CrashNotice& notice : this->suspects.openNotices(fingerprint)) {
+            const std::string key = makeKey(notice);
+            if (this->storedKeys.contains(key))
+                this->queue(key, this->encode(notice));
+        }
+    }
+    this->nextAppend = std::max(this->nextAppend, now + delay);
+}
+
 void SuspectStore::onRecord(const StoreCache::KeyedRecord& record)
 {
     const std::string fingerprint = record.key.substr(0, record.key.find(keySeparator));
+    // A copy of the store may bring back what was removed since; the removal is written again.
+    this->era = std::max(this->era, record.era);
+    const auto removed = this->removedKeys.find(record.key);
+    if (record.value && removed != this->removedKeys.end() && record.era > removed->second.era)
+        return;
     if (!record.value) {
         this->storedKeys.erase(record.key);
         this->suspects.exonerate(fingerprint);
--- a/src/apps/gateway/suspectstore.h
+++ b/src/apps/gateway/suspectstore.h
@@ -44,6 +44,12 @@
     /** Merges a record of the store into the registry. */
     void onRecord(const StoreCache::KeyedRecord& record);
 
+    /**
+     * Writes again what this process stored or removed shortly before the store came back from an older copy.
+     * @param delay the time after which it is sent, so that the gateways do not write all at once.
+     */
+    void onNewEra(Foundation::Duration delay);
+
     /** Sends what is queued; called at each tick of the process. */
     void tick();
 
@@ -59,6 +65,16 @@
     std::set<std::string, std::less<>> observed;
     /** The keys that the store has or will have, with the certainty that is stored. */
     std::map<std::string, Quarantine::CrashCertainty, std::less<>> storedKeys;
+    /** When and in which era of the store a key was removed. */
+    struct Removal {
+        Foundation::TimePoint time {};
+        std::uint64_t era = 0;
+    };
+
+    /** Kept for the time by which a copy of the store may be older. */
+    std::map<std::string, Removal, std::less<>> removedKeys;
+    /** The era of the newest record. */
+    std::uint64_t era = 0;
     /** Records that the store has not acknowledged; without a value for a removal. */
     std::map<std::string, std::optional<std::string>> pending;
     bool isAppending = false;
--- a/src/libs/foundation/event.cpp
+++ b/src/libs/foundation/event.cpp
@@ -37,6 +37,9 @@
         "The store has dropped records before they were read; the newest record of each key is read instead." },
     { Event::OutageWasPartial, "OutageWasPartial", Severity::Info,
         "Another gateway reached the store all the while, so entries that are missing were removed." },
+    { Event::StoreEraChanged, "StoreEraChanged", Severity::Warning,
+        "The store has come back from an older copy; all topics are read again, and what this system wrote is written "
+        "again." },
     { Event::InstanceListUnavailable, "InstanceListUnavailable", Severity::Warning,
         "The instance list cannot be read." },
     { Event::EntryIgnored, "EntryIgnored", Severity::Info,
--- a/src/libs/foundation/event.h
+++ b/src/libs/foundation/event.h
@@ -24,6 +24,7 @@
     EvacuationChanged = 206,
     StoreHistoryLost = 207,
     OutageWasPartial = 208,
+    StoreEraChanged = 209,
     InstanceListUnavailable = 210,
     EntryIgnored = 211,
     KnowledgeFromPeer = 212,
--- a/src/libs/membership/upstreamdirectory.cpp
+++ b/src/libs/membership/upstreamdirectory.cpp
@@ -9,6 +9,14 @@
 namespace {
 
 constexpr char generationSeparator = '/';
+// Longer than a copy of the list may be old.
+constexpr Foundation::Duration endedGenerationRetention = std::chrono::minutes(5);
+constexpr std::size_t maximumEndedGenerations = 4096;
+
+std::string makeGenerationId(const UpstreamEntry& entry)
+{
+    return entry.id + generationSeparator + std::to_string(entry.startedAtMs);
+}
 
 } // namespace
 
@@ -24,7 +32,7 @@
 void Upstream::setEntry(const UpstreamEntry& newest)
 {
     this->entry = newest;
-    this->generation = newest.id + generationSeparator + std::to_string(newest.startedAtMs);
+    this->generation = makeGenerationId(newest);
 }
 
 UpstreamDirectory::UpstreamDirectory(ChangeHandler onChange)
@@ -47,6 +55,8 @@
         return;
     const bool isRestart = entry.startedAtMs != listed.entry.startedAtMs;
     const bool startsDraining = entry.isDraining && (isRestart || !listed.entry.isDraining);
+    if (isRestart)
+        this->recordEnded(listed.generationId(), now);
     if (isRestart || entry.address != listed.entry.address)
         listed.isMisaddressed = false;
     listed.setEntry(entry);
@@ -70,9 +80,30 @@
     }
     const Upstream removed = std::move(found->second);
     this->upstreams.erase(found);
+    this->recordEnded(removed.generationId(), now);
     this->report(Change::Removed, removed);
 }
 
+bool UpstreamDirectory::isSuperseded(const UpstreamEntry& entry) const
+{
+    if (this->endedGenerations.contains(makeGenerationId(entry)))
+        return true;
+    const Upstream* const listed = this->find(entry.id);
+    if (!listed)
+        return false;
+    const bool isSameGeneration = entry.startedAtMs == listed->entry.startedAtMs;
+    return entry.startedAtMs < listed->entry.startedAtMs
+        || (isSameGeneration && listed->entry.isDraining && !entry.isDraining);
+}
+
+void UpstreamDirectory::recordEnded(const std::string& generationId, Foundation::TimePoint now)
+{
+    std::erase_if(
+        this->endedGenerations, [now](const auto& ended) { return now - ended.second >= endedGenerationRetention; });
+    if (this->endedGenerations.size() < maximumEndedGenerations)
+        this->endedGenerations[generationId] = now;
+}
+
 void UpstreamDirectory::extendGracePeriod(Foundation::TimePoint graceEnd)
 {
     this->outageGraceEnd = std::max(this->outageGraceEnd, graceEnd);
@@ -100,6 +131,7 @@
             continue;
         const Upstream removed = std::move(current->second);
         this->upstreams.erase(current);
+        this->recordEnded(removed.generationId(), now);
         this->report(Change::Removed, removed);
     }
 }
--- a/src/libs/membership/upstreamdirectory.h
+++ b/src/libs/membership/upstreamdirectory.h
@@ -64,6 +64,12 @@
     /** Adds an upstream or replaces its entry. Ignores entries of earlier generations. */
     void update(const UpstreamEntry& entry, Foundation::TimePoint now);
 
+    /**
+     * Returns whether an entry from an older copy of the list would undo what is known: its generation has ended, an
+     * earlier one than the listed one, or was draining.
+     */
+    bool isSuperseded(const UpstreamEntry& entry) const;
+
     /**
      * Handles the removal of an upstream's entry. During a grace period an upstream that is not draining stays in use
      * until the period ends, since an entry that expired during an outage of the list is written again after it.
@@ -109,10 +115,13 @@
 
 private:
     void report(Change change, const Upstream& upstream) const;
+    void recordEnded(const std::string& generationId, Foundation::TimePoint now);
 
     ChangeHandler onChange;
     std::map<std::string, Upstream, std::less<>> upstreams;
     std::set<std::string, std::less<>> evacuatedDomains;
+    /** When generations ended, for the time by which a copy of the list may be older than what is known. */
+    std::map<std::string, Foundation::TimePoint, std::less<>> endedGenerations;
     Foundation::TimePoint outageGraceEnd {};
 };
 
--- a/src/libs/storecache/topiccache.cpp
+++ b/src/libs/storecache/topiccache.cpp
@@ -2,9 +2,16 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace StoreCache {
 
+namespace {
+
+std::pair<std::uint64_t, std::uint64_t> positionOf(const KeyedRecord& record) { return { record.era, record.offset }; }
+
+} // namespace
+
 TopicCache::TopicCache(ChangeHandler onChange)
     : onChange(std::move(onChange))
 {
@@ -13,7 +20,7 @@
 bool TopicCache::merge(KeyedRecord record)
 {
     const auto found = this->records.find(record.key);
-    if (found != this->records.end() && found->second.offset >= record.offset)
+    if (found != this->records.end() && positionOf(found->second) >= positionOf(record))
         return false;
     std::string key = record.key;
     KeyedRecord& cached = this->records[std::move(key)];
@@ -23,15 +30,27 @@
     return true;
 }
 
-void TopicCache::mergeRange(std::vector<KeyedRecord> range, std::uint64_t end)
+void TopicCache::beginEra(std::uint64_t newEra)
+{
+    if (newEra <= this->currentEra)
+        return;
+    this->currentEra = newEra;
+    this->mergedEnd = 0;
+}
+
+void TopicCache::mergeRange(std::vector<KeyedRecord> range, std::uint64_t end, std::uint64_t rangeEra)
 {
+    if (rangeEra != this->currentEra)
+        return;
     for (KeyedRecord& record : range)
         this->merge(std::move(record));
     this->mergedEnd = std::max(this->mergedEnd, end);
 }
 
-void TopicCache::mergeListing(std::vector<KeyedRecord> listing, std::uint64_t end)
+void TopicCache::mergeListing(std::vector<KeyedRecord> listing, std::uint64_t end, std::uint64_t listingEra)
 {
+    if (listingEra != this->currentEra)
+        return;
     std::set<std::string, std::less<>> listedKeys;
     for (KeyedRecord& record : listing) {
         listedKeys.insert(record.key);
@@ -39,8 +58,9 @@
     }
     std::vector<KeyedRecord> deleted;
     for (const auto& [key, record] : this->records) {
-        if (record.value && record.offset < end && !listedKeys.contains(key))
-            deleted.push_back({ key, std::nullopt, end - 1 });
+        const bool isBeforeListing = record.era < listingEra || record.offset < end;
+        if (record.value && isBeforeListing && !listedKeys.contains(key))
+            deleted.push_back({ key, std::nullopt, end > 0 ? end - 1 : 0, listingEra });
     }
     for (KeyedRecord& record : deleted)
         this->merge(std::move(record));
@@ -51,7 +71,8 @@
 {
     std::vector<KeyedRecord> newer;
     for (const auto& [key, record] : this->records) {
-        if (record.offset >= offset)
+        const bool isNewer = record.era == this->currentEra && record.offset >= offset;
+        if (isNewer || offset == 0)
             newer.push_back(record);
     }
     return newer;
--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <concepts>
 #include <type_traits>
 #include <utility>
@@ -16,6 +17,7 @@
 using Json = nlohmann::json;
 
 constexpr const char* typeKey = "t";
+const std::string erasSuffix = "Eras";
 
 // Older processes send no certainty and count every notice.
 Quarantine::CrashCertainty certaintyOf(const Json& notice)
@@ -90,6 +92,13 @@
             list.push_back(std::move(item));
         }
         this->object[key] = std::move(list);
+        if (std::ranges::all_of(records, [](const auto& record) { return record.era == 0; }))
+            return;
+        // A list of its own, since earlier versions take a third element of an item for the value.
+        Json eras = Json::array();
+        for (const StoreCache::KeyedRecord& record : records)
+            eras.push_back(record.era);
+        this->object[key + erasSuffix] = std::move(eras);
     }
 
     /** Writes binary data, which need not be valid UTF-8. */
@@ -179,6 +188,9 @@
             }
             records.push_back(std::move(record));
         }
+        const Json* const eras = this->find((key + erasSuffix).c_str());
+        for (std::size_t i = 0; eras && i < std::min(eras->size(), records.size()); ++i)
+            records[i].era = eras->at(i).get<std::uint64_t>();
     }
 
     void bytes(const char* key, std::string& value) const
@@ -433,6 +445,7 @@
 {
     visitor("operator", query.operatorEnd);
     visitor("upstreams", query.upstreamEnd);
+    visitor("era", query.era);
 }
 
 template <typename V> void visit(V&& visitor, MessageOf<StoreCacheReply> auto& reply)
@@ -449,6 +462,7 @@
     visitor("grace", reply.graceMs);
     visitor("currentFor", reply.upstreamCurrentForMs);
     visitor("away", reply.upstreamAwayMs);
+    visitor("era", reply.era);
 }
 
 template <typename T> constexpr bool belongsToAttempt = requires(T message) { message.attempt; };
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -233,6 +233,8 @@
     /** The offsets up to which the sender has cached the operator topic and the upstream topic. */
     std::uint64_t operatorEnd = 0;
     std::uint64_t upstreamEnd = 0;
+    /** The era of the store to which these offsets belong. */
+    std::uint64_t era = 0;
 };
 
 /** Records from the store cache of a gateway: the response to a query, or records that the gateway has just read. */
@@ -258,6 +260,8 @@
     std::int64_t upstreamCurrentForMs = 0;
     /** The time since the start of the last such gap, in ms; 0 if there was none. */
     std::int64_t upstreamAwayMs = 0;
+    /** The era of the store to which the offsets belong; single records may be of earlier ones. */
+    std::uint64_t era = 0;
 };
 
 /** Any message. The index of a type in this list is its number on the wire, so the order must not change. */
--- a/src/tools/standin/modelengine.h
+++ b/src/tools/standin/modelengine.h
@@ -46,9 +46,9 @@
  *
  * Faults: cold (resets the engine to the cold state at once), cutStreams (closes N connections at their next write; the
  * streams continue), endInsideEvents (the same, but ends N answers in order in the middle of an event), endlessAnswers
- * (N answers go on without end), ignoreCancels, slowFactor (duration of prefill in percent; values below 100 have no effect),
- * leaving (the status reports that the engine is draining). A prompt that contains CRASH-THE-ENGINE crashes the engine
- * at the end of its prefill.
+ * (N answers go on without end), ignoreCancels, slowFactor (duration of prefill in percent; values below 100 have no
+ * effect), leaving (the status reports that the engine is draining). A prompt that contains CRASH-THE-ENGINE crashes
+ * the engine at the end of its prefill.
  */
 class ModelEngine final : public StandinRole {
 public:
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -399,6 +399,52 @@
     CHECK_TRUE(answer->body.ends_with("xxxx\n\n"));
 }
 
+TEST(GatewayTest, theNextDocumentIsInForceAfterTheStoreCameBackFromAnOlderCopy)
+{
+    this->store.takeCopy();
+    this->startGateway("app");
+    this->store.takeCopy();
+    for (int version = 2; version <= 6; ++version)
+        this->store.put("keyed.op", "config", makeDocument(version, { "key" }));
+    CHECK_TRUE(this->runUntil([this] { return this->call("/safe/x", "GET", "key").result.status == 200; }));
+    this->store.setUnavailable(true);
+    this->runFor(300ms);
+    this->store.restoreCopy();
+    this->store.setUnavailable(false);
+    this->runFor(500ms);
+    // Lost with the copy, then written again: what was in force stays in force.
+    this->store.put("keyed.op", "config", makeDocument(6, { "key" }));
+    this->store.put("keyed.op", "config", makeDocument(7, { "key", "new" }));
+    const auto isInForce = [this] { return this->call("/safe/x", "GET", "new").result.status == 200; };
+    CHECK_TRUE(this->runUntil(isInForce, 2s));
+}
+
+TEST(GatewayTest, aKeyThatWasTakenAwayStaysRefusedAfterTheStoreCameBackFromAnOlderCopy)
+{
+    this->store.takeCopy();
+    this->startGateway("app");
+    this->store.takeCopy();
+    this->store.put("keyed.op", "config", makeDocument(2, { "other" }));
+    CHECK_TRUE(this->runUntil([this] { return this->call("/safe/x", "GET", "key").result.status == 401; }));
+    this->store.restoreCopy();
+    for (int i = 0; i < 20; ++i) {
+        CHECK_TRUE(this->call("/safe/x", "GET", "key").result.status != 200);
+        this->runFor(50ms);
+    }
+}
+
+TEST(GatewayTest, theAddressOfAGatewayIsWrittenAgainAfterTheStoreCameBackFromAnOlderCopy)
+{
+    this->store.takeCopy();
+    this->startGateway("app");
+    CHECK_TRUE(this->runUntil([this] { return this->store.appends == 1; }));
+    this->runFor(200ms);
+    this->store.restoreCopy();
+    CHECK_TRUE(this->runUntil([this] { return this->store.appends == 2; }, 3s));
+    this->runFor(500ms);
+    LONGS_EQUAL(2, this->store.appends);
+}
+
 TEST_GROUP_BASE(GatewayCrashTest, TEST_GROUP_CppUTestGroupGatewayTest)
 {
     static constexpr int crashLimit = 3;
--- a/tests/auto/gateway/tst_storesynchronizer.cpp
+++ b/tests/auto/gateway/tst_storesynchronizer.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <asio/io_context.hpp>
+#include <rapidcheck.h>
 
 using namespace Gateway;
 using namespace std::chrono_literals;
@@ -53,7 +54,8 @@
                 this->queries.push_back(query);
                 return true;
             },
-            [](const Wire::StoreCacheReply&) {}, [](const auto&) {}, [this] { return this->domainRank; } } };
+            [](const Wire::StoreCacheReply&) {}, [](const auto&) {}, [](Foundation::Duration) {},
+            [this] { return this->domainRank; } } };
 
     void setup() override
     {
@@ -61,6 +63,32 @@
         this->bootClock.advance(1h);
     }
 
+    // A reply of the operator's topic in an era of the store.
+    void receiveOperator(std::uint64_t era, std::uint64_t from, std::vector<StoreCache::KeyedRecord> records)
+    {
+        Wire::StoreCacheReply update = makeUpdate(from, from + records.size(), std::move(records));
+        for (StoreCache::KeyedRecord& record : update.operatorRecords)
+            record.era = era;
+        update.era = era;
+        this->synchronizer.onReply(update);
+    }
+
+    void receiveUpstreamsOfEra(std::uint64_t era, std::uint64_t from, std::vector<StoreCache::KeyedRecord> records)
+    {
+        Wire::StoreCacheReply update;
+        update.hasCachedState = true;
+        update.era = era;
+        update.upstreamFrom = from;
+        update.upstreamEnd = from + records.size();
+        update.upstreamRecords = std::move(records);
+        for (StoreCache::KeyedRecord& record : update.upstreamRecords)
+            record.era = era;
+        this->synchronizer.onReply(update);
+    }
+
+    std::int64_t policyVersion() const { return this->synchronizer.policy()->version(); }
+    bool isEvacuated(const char* domain) { return this->synchronizer.directory().evacuated().contains(domain); }
+
     // An update of the upstreams' topic from a gateway that has been current for so long.
     void receiveUpstreams(std::uint64_t from, std::vector<StoreCache::KeyedRecord> records,
         Foundation::Duration currentFor, Foundation::Duration grace = {}, Foundation::Duration away = {})
@@ -202,3 +230,157 @@
     this->synchronizer.tick();
     CHECK_FALSE(this->isListed("x"));
 }
+
+TEST(StoreSynchronizerTest, aPolicyDoesNotRevertWhenTheStoreComesBackFromACopyAndTheNextOneIsInForce)
+{
+    this->synchronizer.start();
+    this->receiveOperator(1, 0,
+        { { "config", R"({"version": 4})", 0 }, { "config", R"({"version": 5})", 1 },
+            { "config", R"({"version": 7})", 2 } });
+    LONGS_EQUAL(7, this->policyVersion());
+    this->receiveOperator(2, 0, { { "config", R"({"version": 4})", 0 } });
+    LONGS_EQUAL(7, this->policyVersion());
+    // At an offset that an earlier version had.
+    this->receiveOperator(2, 1, { { "config", R"({"version": 8})", 1 } });
+    LONGS_EQUAL(8, this->policyVersion());
+}
+
+TEST(StoreSynchronizerTest, aReplyOfAnEarlierEraIsIgnored)
+{
+    this->synchronizer.start();
+    this->receiveOperator(2, 0, { { "config", R"({"version": 4})", 0 } });
+    this->receiveOperator(1, 0, { { "config", R"({"version": 9})", 50 } });
+    LONGS_EQUAL(4, this->policyVersion());
+}
+
+TEST(StoreSynchronizerTest, anUpdateOfALaterEraIsQueriedFromItsBeginning)
+{
+    this->synchronizer.start();
+    this->receiveOperator(1, 0, { { "config", R"({"version": 4})", 0 } });
+    this->receiveOperator(2, 5, { { "config", R"({"version": 6})", 5 } });
+    UNSIGNED_LONGS_EQUAL(0, this->queries.back().operatorEnd);
+    UNSIGNED_LONGS_EQUAL(2, this->queries.back().era);
+    LONGS_EQUAL(4, this->policyVersion());
+}
+
+TEST(StoreSynchronizerTest, aQueryOfAnotherEraIsAnsweredWithAllRecords)
+{
+    this->synchronizer.start();
+    this->receiveOperator(2, 0, { { "config", R"({"version": 4})", 0 }, { "evacuate/a", "{}", 1 } });
+    const Wire::StoreCacheReply reply = this->synchronizer.answerQuery({ 90, 90, 1 });
+    UNSIGNED_LONGS_EQUAL(2, reply.operatorRecords.size());
+    UNSIGNED_LONGS_EQUAL(0, reply.operatorFrom);
+    UNSIGNED_LONGS_EQUAL(2, reply.era);
+}
+
+TEST(StoreSynchronizerTest, evacuationsStayAsTheyWereUntilTheOperatorHadTimeToWriteThemAgain)
+{
+    this->synchronizer.start();
+    this->receiveOperator(1, 0,
+        { { "evacuate/a", "{}", 0 }, { "evacuate/b", "{}", 1 }, { "evacuate/b", std::nullopt, 2 },
+            { "evacuate/c", "{}", 3 } });
+    CHECK_TRUE(this->isEvacuated("a") && !this->isEvacuated("b") && this->isEvacuated("c"));
+    // The copy has the evacuation that was ended and lacks one that was begun.
+    this->receiveOperator(
+        2, 0, { { "evacuate/a", "{}", 0 }, { "evacuate/b", "{}", 1 }, { "evacuate/c", std::nullopt, 2 } });
+    CHECK_TRUE(this->isEvacuated("a") && !this->isEvacuated("b") && this->isEvacuated("c"));
+    this->receiveOperator(2, 3, { { "evacuate/b", std::nullopt, 3 }, { "evacuate/c", "{}", 4 } });
+    this->advance(3s);
+    this->synchronizer.tick();
+    CHECK_TRUE(this->isEvacuated("a") && !this->isEvacuated("b") && this->isEvacuated("c"));
+}
+
+TEST(StoreSynchronizerTest, anEvacuationThatIsNotWrittenAgainEndsAfterTheSettleTime)
+{
+    this->synchronizer.start();
+    this->receiveOperator(1, 0, { { "evacuate/a", "{}", 0 } });
+    this->receiveOperator(2, 0, { { "evacuate/a", std::nullopt, 0 } });
+    this->advance(3s);
+    this->synchronizer.tick();
+    CHECK_FALSE(this->isEvacuated("a"));
+}
+
+TEST(StoreSynchronizerTest, anEndedUpstreamDoesNotComeBackFromACopyUnlessItWritesItself)
+{
+    this->synchronizer.start();
+    this->receiveUpstreamsOfEra(1, 0, { makeUpstreamRecord("x", 0), { "x", std::nullopt, 1 } });
+    this->receiveUpstreamsOfEra(2, 0, { makeUpstreamRecord("x", 0) });
+    CHECK_FALSE(this->isListed("x"));
+    this->receiveUpstreamsOfEra(2, 1, { makeUpstreamRecord("x", 1) });
+    CHECK_TRUE(this->isListed("x"));
+}
+
+TEST(StoreSynchronizerTest, anUpstreamThatTheCopyLacksStaysInUseForTheGracePeriod)
+{
+    this->synchronizer.start();
+    this->receiveUpstreamsOfEra(1, 0, { makeUpstreamRecord("x", 0) });
+    this->receiveUpstreamsOfEra(2, 0, { { "x", std::nullopt, 0 } });
+    CHECK_TRUE(this->isListed("x"));
+    this->advance(3s);
+    this->synchronizer.tick();
+    CHECK_FALSE(this->isListed("x"));
+}
+
+TEST(StoreSynchronizerTest, answersAfterAnEraChangeDoNotProveThatKeysAreValidBeforeTheOperatorHadTimeToWrite)
+{
+    this->synchronizer.start();
+    this->receiveOperator(1, 0, { { "config", R"({"version": 4})", 0 } });
+    this->advance(1s);
+    this->receiveOperator(2, 0, { { "config", R"({"version": 4})", 0 } });
+    CHECK_TRUE(this->synchronizer.cacheAge() >= 1s);
+    this->advance(3s);
+    this->receiveOperator(2, 1, {});
+    CHECK_TRUE(this->synchronizer.cacheAge() < 1s);
+}
+
+TEST(StoreSynchronizerTest, anyOrderOfRepliesOverAnyNumberOfErasEndsInTheNewestPolicyAndNeverRevertsOne)
+{
+    CHECK_TRUE(rc::check([] {
+        // In each era the store holds the versions of its copy and those written since; each version is written once
+        // more after it was lost.
+        std::vector<std::vector<int>> eras { {} };
+        int newest = 0;
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 8));
+        for (const int step : steps) {
+            if (step != 0) {
+                eras.back().push_back(++newest);
+                continue;
+            }
+            std::vector<int> copy = eras.back();
+            copy.resize(copy.size() - std::min<std::size_t>(copy.size(), 2));
+            if (newest > 0)
+                copy.push_back(newest);
+            eras.push_back(copy);
+        }
+        asio::io_context context;
+        Platform::HttpTransfers transfers { context };
+        Foundation::ManualClock clock;
+        Foundation::MetricRegistry metrics;
+        StoreSynchronizer synchronizer { transfers, clock, clock, metrics, makeSettings(),
+            { [] {}, [](const std::string&) {}, [](const auto&) {}, [](const auto&) { return true; },
+                [](const auto&) {}, [](const auto&) {}, [](Foundation::Duration) {},
+                [] { return std::size_t { 1 }; } } };
+        clock.advance(1h);
+        std::int64_t highest = 0;
+        const auto receive = [&](std::size_t era, std::size_t count) {
+            std::vector<StoreCache::KeyedRecord> records;
+            if (count > 0)
+                records.push_back(
+                    { "config", R"({"version": )" + std::to_string(eras[era][count - 1]) + "}", count - 1, era + 1 });
+            Wire::StoreCacheReply reply = makeUpdate(0, count, std::move(records));
+            reply.era = era + 1;
+            synchronizer.onReply(reply);
+            const std::int64_t version = synchronizer.policy() ? synchronizer.policy()->version() : 0;
+            RC_ASSERT(version >= highest);
+            highest = version;
+        };
+        const auto deliveries = *rc::gen::container<std::vector<std::pair<int, int>>>(
+            rc::gen::pair(rc::gen::inRange(0, 1'000), rc::gen::inRange(0, 1'000)));
+        for (const auto& [eraDraw, countDraw] : deliveries) {
+            const std::size_t era = static_cast<std::size_t>(eraDraw) % eras.size();
+            receive(era, static_cast<std::size_t>(countDraw) % (eras[era].size() + 1));
+        }
+        receive(eras.size() - 1, eras.back().size());
+        RC_ASSERT(highest == newest);
+    }));
+}
--- a/tests/standins/standinstore.cpp
+++ b/tests/standins/standinstore.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
+#include <algorithm>
 #include <iterator>
 
 namespace {
@@ -69,10 +70,42 @@
     if (!unavailable)
         return;
     for (const HeldRead& held : this->heldReads)
-        held.exchange->respond({ 503, "application/json", {}, "{}", false });
+        this->respond(*held.exchange, { 503, "application/json", {}, "{}", false });
     this->heldReads.clear();
 }
 
+bool StandinStore::contains(const std::string& topic, const std::string& key) const
+{
+    const auto found = this->topics.find(topic);
+    if (found == this->topics.end())
+        return false;
+    const std::string prefix = makeContent(key, "");
+    const auto& contents = found->second.contents;
+    const auto newest = std::find_if(contents.rbegin(), contents.rend(),
+        [&prefix](const std::string& content) { return content.starts_with(prefix); });
+    return newest != contents.rend() && newest->size() > prefix.size();
+}
+
+void StandinStore::takeCopy(const std::string& emptyTopic)
+{
+    this->era = std::max<std::uint64_t>(1, this->era);
+    this->copiedTopics = this->topics;
+    this->copiedTopics.erase(emptyTopic);
+}
+
+void StandinStore::restoreCopy()
+{
+    ++this->era;
+    this->topics = this->copiedTopics;
+}
+
+void StandinStore::respond(Web::HttpExchange& exchange, Web::HttpReply reply) const
+{
+    if (this->era > 0)
+        reply.headers.push_back({ "Store-Era", std::to_string(this->era) });
+    exchange.respond(std::move(reply));
+}
+
 void StandinStore::expireHistory(const std::string& topic)
 {
     this->topics[topic].first = this->topics[topic].contents.size();
@@ -83,15 +116,15 @@
     ++this->calls;
     const Web::HttpRequest& request = exchange->request();
     if (this->isUnavailable)
-        exchange->respond({ 503, "application/json", {}, "{}", false });
+        this->respond(*exchange, { 503, "application/json", {}, "{}", false });
     else if (request.path == "/log-read" && this->holdRead(exchange))
         return;
     else if (request.path == "/log-read")
-        exchange->respond(this->readRange(request));
+        this->respond(*exchange, this->readRange(request));
     else if (request.path == "/log-newest")
-        exchange->respond(this->readListing(request));
+        this->respond(*exchange, this->readListing(request));
     else
-        exchange->respond(this->append(request));
+        this->respond(*exchange, this->append(request));
 }
 
 bool StandinStore::holdRead(const std::shared_ptr<Web::HttpExchange>& exchange)
@@ -99,7 +132,7 @@
     const Web::HttpRequest& request = exchange->request();
     const std::string waitMs(request.parameter("wait_ms"));
     const std::string topic(request.parameter("topic"));
-    if (waitMs.empty() || std::stoull(std::string(request.parameter("from"))) < this->topics[topic].contents.size())
+    if (waitMs.empty() || std::stoull(std::string(request.parameter("from"))) != this->topics[topic].contents.size())
         return false;
     this->heldReads.push_back({ exchange, topic, asio::steady_timer(this->context) });
     const auto held = std::prev(this->heldReads.end());
@@ -107,7 +140,7 @@
     held->timer.async_wait([this, held](const asio::error_code& error) {
         if (error)
             return;
-        held->exchange->respond(this->readRange(held->exchange->request()));
+        this->respond(*held->exchange, this->readRange(held->exchange->request()));
         this->heldReads.erase(held);
     });
     return true;
@@ -120,7 +153,7 @@
             ++held;
             continue;
         }
-        held->exchange->respond(this->readRange(held->exchange->request()));
+        this->respond(*held->exchange, this->readRange(held->exchange->request()));
         held = this->heldReads.erase(held);
     }
 }
@@ -135,7 +168,7 @@
 {
     const Topic& topic = this->topics[std::string(request.parameter("topic"))];
     const std::uint64_t from = std::stoull(std::string(request.parameter("from")));
-    if (from < topic.first)
+    if (from < topic.first || from > topic.contents.size())
         return { 410, "application/json", {}, "{}", false };
     std::string body = bigEndian(topic.contents.size(), 8) + bigEndian(topic.first, 8);
     for (std::size_t i = from; i < topic.contents.size(); ++i)
--- a/tests/standins/standinstore.h
+++ b/tests/standins/standinstore.h
@@ -30,6 +30,18 @@
     /** While it is unavailable, the store answers every call with 503, also the reads that it holds. */
     void setUnavailable(bool unavailable);
 
+    /** Returns whether a key has a value. */
+    bool contains(const std::string& topic, const std::string& key) const;
+
+    /**
+     * Names an era in all answers, and takes a copy of all topics.
+     * @param emptyTopic a topic that is empty in the copy, as if it had been written to later.
+     */
+    void takeCopy(const std::string& emptyTopic = {});
+
+    /** Comes back from the copy: what was written since is lost, and its offsets are given out again. */
+    void restoreCopy();
+
     /** Expires all records of a topic, so that its current values can only be read as a listing. */
     void expireHistory(const std::string& topic);
 
@@ -49,6 +61,7 @@
         asio::steady_timer timer;
     };
 
+    void respond(Web::HttpExchange& exchange, Web::HttpReply reply) const;
     void handle(const std::shared_ptr<Web::HttpExchange>& exchange);
     bool holdRead(const std::shared_ptr<Web::HttpExchange>& exchange);
     void answerHeldReads(const std::string& topic);
@@ -60,6 +73,9 @@
     asio::io_context& context;
     Web::HttpServer server;
     std::map<std::string, Topic, std::less<>> topics;
+    std::map<std::string, Topic, std::less<>> copiedTopics;
+    /** 0 until a copy is taken. */
+    std::uint64_t era = 0;
     std::list<HeldRead> heldReads;
     bool isUnavailable = false;
 };
--- a/tests/system/gatewayfleet.cpp
+++ b/tests/system/gatewayfleet.cpp
@@ -33,22 +33,22 @@
         { "timeout_ms", timeoutMs }, { "goal_ms", 200 }, { "service", service }, { "max_attempts", 2 } };
 }
 
-std::string makeDocument()
+} // namespace
+
+std::string GatewayFleet::makeDocument(int version, const std::vector<std::string>& keys)
 {
     nlohmann::json stream = makeRoute("stream", "streaming", 8'000, "llm");
     stream["gap_target_ms"] = 250;
     stream["resumable"] = true;
     const nlohmann::json engine = { { "slots", upstreamSlots }, { "kv_capacity", 405000 }, { "stride", 34 },
         { "step_ms", 1.31 }, { "read_per_s", 154000 }, { "pairs_per_m", 0.162 }, { "chunk", 2048 } };
-    const nlohmann::json document = { { "version", 1 },
+    const nlohmann::json document = { { "version", version },
         { "routes", { makeRoute("safe", "safe", 1'500, "app"), makeRoute("unsafe", "unsafe", 1'500, "app"), stream } },
         { "services", { { { "name", "app" } }, { { "name", "llm" }, { "engine", engine } } } },
-        { "tenants", { { { "name", "tenant" }, { "api_keys", { "key" } } } } } };
+        { "tenants", { { { "name", "tenant" }, { "api_keys", keys } } } } };
     return document.dump();
 }
 
-} // namespace
-
 GatewayFleet::GatewayFleet(asio::io_context& context, std::filesystem::path programs, Plan plan, std::uint64_t seed)
     : plan(plan)
     , programs(std::move(programs))
@@ -82,7 +82,7 @@
 void GatewayFleet::start()
 {
     this->store.start();
-    this->store.put("keyed.op", "config", makeDocument());
+    this->store.put("keyed.op", "config", makeDocument(1, { "key" }));
     const std::string runLog = this->folder / "runs.txt";
     std::ofstream { runLog };
     this->runLogFile.open(runLog);
--- a/tests/system/gatewayfleet.h
+++ b/tests/system/gatewayfleet.h
@@ -57,6 +57,7 @@
     std::size_t gatewayCount() const { return this->gateways.size(); }
     bool isGatewayRunning(std::size_t index) const { return this->gateways[index].isRunning; }
     std::string gatewayAddress(std::size_t index) const;
+    const std::string& gatewayName(std::size_t index) const { return this->gateways[index].name; }
     std::uint16_t callerPort(std::size_t index) const { return this->gateways[index].callerPort; }
     std::int64_t gatewayResidentBytes(std::size_t index) const
     {
@@ -73,6 +74,12 @@
     /** Makes the store answer every call of the gateways with 503; entries are written to it all the same. */
     void setStoreUnavailable(bool isUnavailable) { this->store.setUnavailable(isUnavailable); }
 
+    /** The store, to write as the operator does and to come back from a copy. */
+    StandinStore& platformStore() { return this->store; }
+
+    /** Returns the operator's document. */
+    static std::string makeDocument(int version, const std::vector<std::string>& keys);
+
     const std::vector<RunLogEntry>& runLog() const { return this->entries; }
 
     /** Returns the folder with the logs of all processes. */
