--- a/tests/auto/gateway/tst_storesynchronizer.cpp
+++ b/tests/auto/gateway/tst_storesynchronizer.cpp
@@ -66,7 +66,8 @@
     // A reply of the operator's topic in an era of the store.
     void receiveOperator(std::uint64_t era, std::uint64_t from, std::vector<StoreCache::KeyedRecord> records)
     {
-        Wire::StoreCacheReply update = makeUpdate(from, from + records.size(), std::move(records));
+        const std::uint64_t end = from + records.size();
+        Wire::StoreCacheReply update = makeUpdate(from, end, std::move(records));
         for (StoreCache::KeyedRecord& record : update.operatorRecords)
             record.era = era;
         update.era = era;
