Show with real gateways that nothing reaches an upstream that departed while some were turned away

In the last 350 ms of the refusal four upstreams leave (with the history of their topic expired, so that only a listing can be read), lapse, are restarted under the same ids, or are removed; in a fifth scenario every upstream of the service lapses in an outage for all.

--- a/tests/standins/standinstore.cpp
+++ b/tests/standins/standinstore.cpp
@@ -38,14 +38,24 @@
 
 StandinStore::StandinStore(asio::io_context& context, std::uint16_t port)
     : context(context)
-    , server(context, { "127.0.0.1", port, 1 << 20 },
-          [this](const std::shared_ptr<Web::HttpExchange>& exchange) { this->handle(exchange); })
 {
+    this->addEntrance(port);
+}
+
+std::size_t StandinStore::addEntrance(std::uint16_t port)
+{
+    const std::size_t number = this->entrances.size();
+    this->entrances.push_back(
+        { std::make_unique<Web::HttpServer>(this->context, Web::HttpServerSettings { "127.0.0.1", port, 1 << 20 },
+              [this, number](const std::shared_ptr<Web::HttpExchange>& exchange) { this->handle(number, exchange); }),
+            false });
+    return number;
 }
 
 void StandinStore::start()
 {
-    this->server.start([](const std::string&) {});
+    for (const Entrance& entrance : this->entrances)
+        entrance.server->start([](const std::string&) {});
 }
 
 void StandinStore::put(const std::string& topic, const std::string& key, const std::string& value)
@@ -74,6 +84,19 @@
     this->heldReads.clear();
 }
 
+void StandinStore::setRefused(std::size_t entrance, bool refused)
+{
+    this->entrances[entrance].isRefused = refused;
+    if (!refused)
+        return;
+    std::erase_if(this->heldReads, [this, entrance](const HeldRead& held) {
+        if (held.entrance != entrance)
+            return false;
+        this->respond(*held.exchange, { 429, "application/json", {}, "{}", false });
+        return true;
+    });
+}
+
 bool StandinStore::contains(const std::string& topic, const std::string& key) const
 {
     const auto found = this->topics.find(topic);
@@ -111,13 +134,15 @@
     this->topics[topic].first = this->topics[topic].contents.size();
 }
 
-void StandinStore::handle(const std::shared_ptr<Web::HttpExchange>& exchange)
+void StandinStore::handle(std::size_t entrance, const std::shared_ptr<Web::HttpExchange>& exchange)
 {
     ++this->calls;
     const Web::HttpRequest& request = exchange->request();
     if (this->isUnavailable)
         this->respond(*exchange, { 503, "application/json", {}, "{}", false });
-    else if (request.path == "/log-read" && this->holdRead(exchange))
+    else if (this->entrances[entrance].isRefused)
+        this->respond(*exchange, { 429, "application/json", {}, "{}", false });
+    else if (request.path == "/log-read" && this->holdRead(entrance, exchange))
         return;
     else if (request.path == "/log-read")
         this->respond(*exchange, this->readRange(request));
@@ -127,14 +152,14 @@
         this->respond(*exchange, this->append(request));
 }
 
-bool StandinStore::holdRead(const std::shared_ptr<Web::HttpExchange>& exchange)
+bool StandinStore::holdRead(std::size_t entrance, const std::shared_ptr<Web::HttpExchange>& exchange)
 {
     const Web::HttpRequest& request = exchange->request();
     const std::string waitMs(request.parameter("wait_ms"));
     const std::string topic(request.parameter("topic"));
     if (waitMs.empty() || std::stoull(std::string(request.parameter("from"))) != this->topics[topic].contents.size())
         return false;
-    this->heldReads.push_back({ exchange, topic, asio::steady_timer(this->context) });
+    this->heldReads.push_back({ exchange, entrance, topic, asio::steady_timer(this->context) });
     const auto held = std::prev(this->heldReads.end());
     held->timer.expires_after(std::chrono::milliseconds(std::stoll(waitMs)));
     held->timer.async_wait([this, held](const asio::error_code& error) {
--- a/tests/standins/standinstore.h
+++ b/tests/standins/standinstore.h
@@ -5,6 +5,7 @@
 
 #include <asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <list>
 #include <map>
 #include <memory>
@@ -16,6 +17,9 @@
 public:
     StandinStore(asio::io_context& context, std::uint16_t port);
 
+    /** Listens on another port, whose callers can be refused on their own. Returns its number; the first port has 0. */
+    std::size_t addEntrance(std::uint16_t port);
+
     void start();
 
     /** Writes a record as the operator or an upstream would. */
@@ -30,6 +34,9 @@
     /** While it is unavailable, the store answers every call with 503, also the reads that it holds. */
     void setUnavailable(bool unavailable);
 
+    /** While an entrance is refused, its callers get 429, also for the reads that are held. */
+    void setRefused(std::size_t entrance, bool refused);
+
     /** Returns whether a key has a value. */
     bool contains(const std::string& topic, const std::string& key) const;
 
@@ -54,16 +61,23 @@
         std::uint64_t first = 0;
     };
 
+    /** A port, and whether its callers are refused. */
+    struct Entrance {
+        std::unique_ptr<Web::HttpServer> server;
+        bool isRefused = false;
+    };
+
     /** A read that is held until a record is appended or its wait is over. */
     struct HeldRead {
         std::shared_ptr<Web::HttpExchange> exchange;
+        std::size_t entrance = 0;
         std::string topic;
         asio::steady_timer timer;
     };
 
     void respond(Web::HttpExchange& exchange, Web::HttpReply reply) const;
-    void handle(const std::shared_ptr<Web::HttpExchange>& exchange);
-    bool holdRead(const std::shared_ptr<Web::HttpExchange>& exchange);
+    void handle(std::size_t entrance, const std::shared_ptr<Web::HttpExchange>& exchange);
+    bool holdRead(std::size_t entrance, const std::shared_ptr<Web::HttpExchange>& exchange);
     void answerHeldReads(const std::string& topic);
     void appendContent(const std::string& topic, std::string content);
     Web::HttpReply readRange(const Web::HttpRequest& request);
@@ -71,7 +85,7 @@
     Web::HttpReply append(const Web::HttpRequest& request);
 
     asio::io_context& context;
-    Web::HttpServer server;
+    std::vector<Entrance> entrances;
     std::map<std::string, Topic, std::less<>> topics;
     std::map<std::string, Topic, std::less<>> copiedTopics;
     /** 0 until a copy is taken. */
--- a/tests/system/gatewayfleet.cpp
+++ b/tests/system/gatewayfleet.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <sstream>
 
@@ -24,9 +25,19 @@
 constexpr std::int64_t shortestDowntimeMs = 2'200;
 constexpr std::int64_t longestDowntimeMs = 3'200;
 constexpr int upstreamSlots = 8;
+constexpr const char* upstreamTopic = "keyed.servers";
 
 std::uint16_t nextPort() { return static_cast<std::uint16_t>(Fleet::findFreePort()); }
 
+std::vector<std::uint16_t> nextPorts(std::size_t count)
+{
+    std::vector<std::uint16_t> ports(count);
+    std::ranges::generate(ports, nextPort);
+    return ports;
+}
+
+std::string failureDomainName(std::size_t failureDomain) { return { static_cast<char>('a' + failureDomain) }; }
+
 nlohmann::json makeRoute(const char* name, const char* type, int timeoutMs, const char* service)
 {
     return { { "name", name }, { "host", "h" }, { "path_prefix", std::string("/") + name + "/" }, { "type", type },
@@ -54,11 +65,13 @@
     , programs(std::move(programs))
     , folder(std::filesystem::temp_directory_path() / ("bluebell-gateways-" + Foundation::makeIdentifier()))
     , random(seed)
-    , storePort(nextPort())
-    , store(context, this->storePort)
+    , storePorts(nextPorts(plan.failureDomains))
+    , store(context, this->storePorts.front())
     , httpTransfers(context)
 {
     std::filesystem::create_directories(this->folder);
+    for (std::size_t i = 1; i < plan.failureDomains; ++i)
+        this->store.addEntrance(this->storePorts[i]);
     for (std::size_t i = 0; i < plan.gateways; ++i)
         this->gateways.push_back(
             { "gateway-" + std::to_string(i), nextPort(), nextPort(), nextPort(), nextPort(), nullptr });
@@ -89,7 +102,7 @@
     for (UpstreamProcess& upstream : this->upstreams)
         this->startUpstream(upstream);
     for (std::size_t i = 0; i < this->gateways.size(); ++i) {
-        this->writeSettings(this->gateways[i]);
+        this->writeSettings(i);
         this->startGateway(i);
     }
 }
@@ -122,14 +135,18 @@
     return list.dump();
 }
 
-void GatewayFleet::writeSettings(const GatewayProcess& gateway) const
+void GatewayFleet::writeSettings(std::size_t index) const
 {
+    const GatewayProcess& gateway = this->gateways[index];
+    nlohmann::json domains;
+    for (std::size_t i = 0; i < this->plan.failureDomains; ++i)
+        domains[failureDomainName(i)] = "r";
     const auto endpoint = [](std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); };
     const nlohmann::json settings = { { "logLevel", "debug" }, { "logLinesPerSecond", 5'000 },
         { "metricsPort", gateway.metricsPort },
         { "node",
-            { { "node_name", gateway.name }, { "ip", "127.0.0.1" }, { "zone", "a" }, { "region", "r" },
-                { "zones", { { "a", "r" } } },
+            { { "node_name", gateway.name }, { "ip", "127.0.0.1" },
+                { "zone", failureDomainName(this->failureDomainOf(index)) }, { "region", "r" }, { "zones", domains },
                 { "listen",
                     { { "front", endpoint(gateway.callerPort) }, { "readiness", endpoint(gateway.readinessPort) },
                         { "control", endpoint(gateway.peerPort) } } },
@@ -138,7 +155,7 @@
                 { "bounds",
                     { { "grace_s", 8 }, { "revoke_ms", 30'000 }, { "config_apply_ms", 2'000 },
                         { "retry_budget_ratio", 0.2 }, { "retry_budget_slack", 100 }, { "budget_window_s", 10 } } },
-                { "platform", { { "address", endpoint(this->storePort) } } } } } };
+                { "platform", { { "address", endpoint(this->storePorts[this->failureDomainOf(index)]) } } } } } };
     std::ofstream(this->folder / (gateway.name + ".json")) << settings.dump(1);
 }
 
@@ -185,8 +202,33 @@
             (this->folder / "runs.txt").string() },
         (this->folder / (upstream.id + ".log")).string());
     upstream.restartAt.reset();
-    this->store.put("keyed.servers", upstream.id,
-        makeUpstreamEntry({ upstream.service, upstream.port, upstream.startedAtMs, upstreamSlots, false }));
+    this->putEntry(upstream, /* isDraining */ false);
+}
+
+void GatewayFleet::putEntry(const UpstreamProcess& upstream, bool isDraining)
+{
+    this->store.put(upstreamTopic, upstream.id,
+        makeUpstreamEntry({ upstream.service, upstream.port, upstream.startedAtMs, upstreamSlots, isDraining }));
+}
+
+void GatewayFleet::writeEntry(std::size_t upstream, bool isDraining)
+{
+    this->putEntry(this->upstreams[upstream], isDraining);
+}
+
+void GatewayFleet::removeEntry(std::size_t upstream)
+{
+    this->store.removeKey(upstreamTopic, this->upstreams[upstream].id);
+}
+
+void GatewayFleet::expireUpstreamHistory() { this->store.expireHistory(upstreamTopic); }
+
+void GatewayFleet::restartUpstream(std::size_t upstream)
+{
+    UpstreamProcess& restarted = this->upstreams[upstream];
+    restarted.process->kill();
+    ++restarted.startedAtMs;
+    this->startUpstream(restarted);
 }
 
 void GatewayFleet::tick()
@@ -222,7 +264,7 @@
     std::erase_if(this->expiringEntries, [this, now](const ExpiringEntry& entry) {
         if (now < entry.at)
             return false;
-        this->store.removeKey("keyed.servers", entry.id);
+        this->store.removeKey(upstreamTopic, entry.id);
         return true;
     });
 }
--- a/tests/system/gatewayfleet.h
+++ b/tests/system/gatewayfleet.h
@@ -39,6 +39,8 @@
         std::string upstreamProgram = "bluebell-crashable-upstream";
         /** The memory limit of a gateway that its settings name, in MB. */
         int gatewayMemoryMb = 260;
+        /** The number of failure domains, to which the gateways belong in turn. */
+        std::size_t failureDomains = 1;
     };
 
     /** @param programs the folder that contains the programs. @param seed decides how upstreams come back. */
@@ -57,6 +59,7 @@
     std::size_t gatewayCount() const { return this->gateways.size(); }
     bool isGatewayRunning(std::size_t index) const { return this->gateways[index].isRunning; }
     std::string gatewayAddress(std::size_t index) const;
+    std::size_t failureDomainOf(std::size_t gateway) const { return gateway % this->plan.failureDomains; }
     const std::string& gatewayName(std::size_t index) const { return this->gateways[index].name; }
     std::uint16_t callerPort(std::size_t index) const { return this->gateways[index].callerPort; }
     std::int64_t gatewayResidentBytes(std::size_t index) const
@@ -74,6 +77,26 @@
     /** Makes the store answer every call of the gateways with 503; entries are written to it all the same. */
     void setStoreUnavailable(bool isUnavailable) { this->store.setUnavailable(isUnavailable); }
 
+    /** Makes the store answer every call of the gateways of a failure domain with 429. */
+    void setDomainRefused(std::size_t failureDomain, bool isRefused)
+    {
+        this->store.setRefused(failureDomain, isRefused);
+    }
+
+    const std::string& upstreamId(std::size_t index) const { return this->upstreams[index].id; }
+
+    /** Writes an upstream's entry again. @param isDraining whether it says that it leaves; it goes on to serve. */
+    void writeEntry(std::size_t upstream, bool isDraining = false);
+
+    /** Removes an upstream's entry, as when it has left or expired, or when the operator removes it. */
+    void removeEntry(std::size_t upstream);
+
+    /** Expires the history of all upstreams' entries, so that they can only be read as a listing. */
+    void expireUpstreamHistory();
+
+    /** Replaces an upstream's process, which writes its entry anew under the same id. */
+    void restartUpstream(std::size_t upstream);
+
     /** The store, to write as the operator does and to come back from a copy. */
     StandinStore& platformStore() { return this->store; }
 
@@ -118,8 +141,9 @@
         Foundation::TimePoint at {};
     };
 
-    void writeSettings(const GatewayProcess& gateway) const;
+    void writeSettings(std::size_t index) const;
     void startUpstream(UpstreamProcess& upstream);
+    void putEntry(const UpstreamProcess& upstream, bool isDraining);
     void onCrash(const RunLogEntry& entry);
     std::string seeds() const;
 
@@ -127,7 +151,8 @@
     std::filesystem::path programs;
     std::filesystem::path folder;
     std::mt19937_64 random;
-    std::uint16_t storePort;
+    /** The ports of the store, one for the gateways of each failure domain. */
+    std::vector<std::uint16_t> storePorts;
     StandinStore store;
     Platform::HttpTransfers httpTransfers;
     std::vector<GatewayProcess> gateways;
--- a/tests/system/restorescenario.cpp
+++ b/tests/system/restorescenario.cpp
@@ -197,6 +197,11 @@
 
 } // namespace
 
+std::vector<RestoreFault> allRestoreFaults()
+{
+    return { RestoreFault::None, RestoreFault::Pause, RestoreFault::Kill, RestoreFault::Twice };
+}
+
 const char* toString(RestoreFault fault)
 {
     switch (fault) {
--- a/tests/system/restorescenario.h
+++ b/tests/system/restorescenario.h
@@ -17,6 +17,7 @@
     std::filesystem::path logFolder;
 };
 
+std::vector<RestoreFault> allRestoreFaults();
 const char* toString(RestoreFault fault);
 
 /**
