--- a/tests/standins/standinanswer.cpp
+++ b/tests/standins/standinanswer.cpp
@@ -4,10 +4,10 @@
 
 std::string makeUpstreamEntry(const StandinEntry& entry)
 {
-    const nlohmann::json fields
-        = { { "service", entry.service }, { "address", "127.0.0.1:" + std::to_string(entry.port) }, { "zone", "a" },
-              { "version", "v1" }, { "slots", entry.slots }, { "state", entry.isDraining ? "draining" : "ready" },
-              { "cold_left_ms", 0 }, { "born", entry.startedAtMs }, { "sequence", 1 } };
+    const nlohmann::json fields = { { "service", entry.service },
+        { "address", "127.0.0.1:" + std::to_string(entry.port) }, { "zone", entry.failureDomain }, { "version", "v1" },
+        { "slots", entry.slots }, { "state", entry.isDraining ? "draining" : "ready" }, { "cold_left_ms", 0 },
+        { "born", entry.startedAtMs }, { "sequence", 1 } };
     return fields.dump();
 }
 
--- a/tests/standins/standinanswer.h
+++ b/tests/standins/standinanswer.h
@@ -12,6 +12,7 @@
     std::int64_t startedAtMs = 1;
     int slots = 4;
     bool isDraining = false;
+    std::string failureDomain = "a";
 };
 
 /** Returns the entry of an upstream of the loopback address in the store's format. */
--- a/tests/standins/standinstore.cpp
+++ b/tests/standins/standinstore.cpp
@@ -4,11 +4,12 @@
 #include <openssl/evp.h>
 
 #include <algorithm>
-#include <iterator>
+#include <chrono>
 
 namespace {
 
 constexpr std::size_t lengthBytes = 4;
+constexpr const char* appendPath = "/log-append";
 
 std::string bigEndian(std::uint64_t number, int bytes)
 {
@@ -79,7 +80,7 @@
     this->isUnavailable = unavailable;
     if (!unavailable)
         return;
-    for (const HeldRead& held : this->heldReads)
+    for (const auto& [number, held] : this->heldReads)
         this->respond(*held.exchange, { 503, "application/json", {}, "{}", false });
     this->heldReads.clear();
 }
@@ -89,24 +90,50 @@
     this->entrances[entrance].isRefused = refused;
     if (!refused)
         return;
-    std::erase_if(this->heldReads, [this, entrance](const HeldRead& held) {
-        if (held.entrance != entrance)
+    std::erase_if(this->heldReads, [this, entrance](const auto& held) {
+        if (held.second.entrance != entrance)
             return false;
-        this->respond(*held.exchange, { 429, "application/json", {}, "{}", false });
+        this->respond(*held.second.exchange, { 429, "application/json", {}, "{}", false });
         return true;
     });
 }
 
-bool StandinStore::contains(const std::string& topic, const std::string& key) const
+std::size_t StandinStore::busiestSecond(bool isAppend) const
+{
+    std::size_t busiest = 0;
+    for (const auto& [kind, count] : this->callsBySecond) {
+        if (kind.first == isAppend)
+            busiest = std::max(busiest, count);
+    }
+    return busiest;
+}
+
+void StandinStore::count(bool isAppend)
 {
+    const auto time = std::chrono::steady_clock::now().time_since_epoch();
+    ++this->callsBySecond[{ isAppend, std::chrono::duration_cast<std::chrono::seconds>(time).count() }];
+}
+
+std::set<std::string> StandinStore::keys(const std::string& topic) const
+{
+    std::set<std::string> present;
     const auto found = this->topics.find(topic);
     if (found == this->topics.end())
-        return false;
-    const std::string prefix = makeContent(key, "");
-    const auto& contents = found->second.contents;
-    const auto newest = std::find_if(contents.rbegin(), contents.rend(),
-        [&prefix](const std::string& content) { return content.starts_with(prefix); });
-    return newest != contents.rend() && newest->size() > prefix.size();
+        return present;
+    for (const std::string& content : found->second.contents) {
+        const auto keySize = static_cast<unsigned char>(content[0]);
+        const std::string key = content.substr(1, keySize);
+        if (content.size() > 1U + keySize)
+            present.insert(key);
+        else
+            present.erase(key);
+    }
+    return present;
+}
+
+bool StandinStore::contains(const std::string& topic, const std::string& key) const
+{
+    return this->keys(topic).contains(key);
 }
 
 void StandinStore::takeCopy(const std::string& emptyTopic)
@@ -138,6 +165,7 @@
 {
     ++this->calls;
     const Web::HttpRequest& request = exchange->request();
+    this->count(request.path == appendPath);
     if (this->isUnavailable)
         this->respond(*exchange, { 503, "application/json", {}, "{}", false });
     else if (this->entrances[entrance].isRefused)
@@ -159,28 +187,28 @@
     const std::string topic(request.parameter("topic"));
     if (waitMs.empty() || std::stoull(std::string(request.parameter("from"))) != this->topics[topic].contents.size())
         return false;
-    this->heldReads.push_back({ exchange, entrance, topic, asio::steady_timer(this->context) });
-    const auto held = std::prev(this->heldReads.end());
-    held->timer.expires_after(std::chrono::milliseconds(std::stoll(waitMs)));
-    held->timer.async_wait([this, held](const asio::error_code& error) {
-        if (error)
+    const std::uint64_t number = ++this->lastHeldRead;
+    HeldRead held { exchange, entrance, topic, asio::steady_timer(this->context) };
+    held.timer.expires_after(std::chrono::milliseconds(std::stoll(waitMs)));
+    held.timer.async_wait([this, number](const asio::error_code&) {
+        const auto ended = this->heldReads.find(number);
+        if (ended == this->heldReads.end())
             return;
-        this->respond(*held->exchange, this->readRange(held->exchange->request()));
-        this->heldReads.erase(held);
+        this->respond(*ended->second.exchange, this->readRange(ended->second.exchange->request()));
+        this->heldReads.erase(ended);
     });
+    this->heldReads.emplace(number, std::move(held));
     return true;
 }
 
 void StandinStore::answerHeldReads(const std::string& topic)
 {
-    for (auto held = this->heldReads.begin(); held != this->heldReads.end();) {
-        if (held->topic != topic) {
-            ++held;
-            continue;
-        }
-        this->respond(*held->exchange, this->readRange(held->exchange->request()));
-        held = this->heldReads.erase(held);
-    }
+    std::erase_if(this->heldReads, [this, &topic](const auto& held) {
+        if (held.second.topic != topic)
+            return false;
+        this->respond(*held.second.exchange, this->readRange(held.second.exchange->request()));
+        return true;
+    });
 }
 
 void StandinStore::appendContent(const std::string& topic, std::string content)
--- a/tests/standins/standinstore.h
+++ b/tests/standins/standinstore.h
@@ -6,9 +6,9 @@
 #include <asio/steady_timer.hpp>
 
 #include <cstdint>
-#include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,6 +40,9 @@
     /** Returns whether a key has a value. */
     bool contains(const std::string& topic, const std::string& key) const;
 
+    /** Returns the keys of a topic that have a value. */
+    std::set<std::string> keys(const std::string& topic) const;
+
     /**
      * Names an era in all answers, and takes a copy of all topics.
      * @param emptyTopic a topic that is empty in the copy, as if it had been written to later.
@@ -52,6 +55,10 @@
     /** Expires all records of a topic, so that its current values can only be read as a listing. */
     void expireHistory(const std::string& topic);
 
+    /** Returns the number of calls in the busiest second since the counting began. */
+    std::size_t busiestSecond(bool isAppend) const;
+    void restartCounting() { this->callsBySecond.clear(); }
+
     int calls = 0;
     int appends = 0;
 
@@ -75,6 +82,7 @@
         asio::steady_timer timer;
     };
 
+    void count(bool isAppend);
     void respond(Web::HttpExchange& exchange, Web::HttpReply reply) const;
     void handle(std::size_t entrance, const std::shared_ptr<Web::HttpExchange>& exchange);
     bool holdRead(std::size_t entrance, const std::shared_ptr<Web::HttpExchange>& exchange);
@@ -90,6 +98,10 @@
     std::map<std::string, Topic, std::less<>> copiedTopics;
     /** 0 until a copy is taken. */
     std::uint64_t era = 0;
-    std::list<HeldRead> heldReads;
+    /** By number, since the end of a wait may be reported after the read was answered. */
+    std::map<std::uint64_t, HeldRead> heldReads;
+    std::uint64_t lastHeldRead = 0;
+    /** The numbers of calls, by whether they append and by second of the steady clock. */
+    std::map<std::pair<bool, std::int64_t>, std::size_t> callsBySecond;
     bool isUnavailable = false;
 };
--- a/tests/system/gatewayfleet.cpp
+++ b/tests/system/gatewayfleet.cpp
@@ -79,6 +79,7 @@
         UpstreamProcess upstream;
         upstream.service = i < plan.applications ? "app" : "llm";
         upstream.id = "i-" + std::to_string(++this->lastUpstreamNumber);
+        upstream.failureDomain = failureDomainName(i % plan.upstreamFailureDomains);
         upstream.port = nextPort();
         this->upstreams.push_back(std::move(upstream));
     }
@@ -208,7 +209,14 @@
 void GatewayFleet::putEntry(const UpstreamProcess& upstream, bool isDraining)
 {
     this->store.put(upstreamTopic, upstream.id,
-        makeUpstreamEntry({ upstream.service, upstream.port, upstream.startedAtMs, upstreamSlots, isDraining }));
+        makeUpstreamEntry({ upstream.service, upstream.port, upstream.startedAtMs, upstreamSlots, isDraining,
+            upstream.failureDomain }));
+}
+
+std::string GatewayFleet::upstreamDomain(const std::string& upstreamId) const
+{
+    const auto found = std::ranges::find(this->upstreams, upstreamId, &UpstreamProcess::id);
+    return found == this->upstreams.end() ? std::string() : found->failureDomain;
 }
 
 void GatewayFleet::writeEntry(std::size_t upstream, bool isDraining)
--- a/tests/system/gatewayfleet.h
+++ b/tests/system/gatewayfleet.h
@@ -41,6 +41,8 @@
         int gatewayMemoryMb = 260;
         /** The number of failure domains, to which the gateways belong in turn. */
         std::size_t failureDomains = 1;
+        /** The number of failure domains, to which the upstreams belong in turn. */
+        std::size_t upstreamFailureDomains = 1;
     };
 
     /** @param programs the folder that contains the programs. @param seed decides how upstreams come back. */
@@ -85,6 +87,9 @@
 
     const std::string& upstreamId(std::size_t index) const { return this->upstreams[index].id; }
 
+    /** Returns the failure domain of an upstream, or an empty string if it does not run any more. */
+    std::string upstreamDomain(const std::string& upstreamId) const;
+
     /** Writes an upstream's entry again. @param isDraining whether it says that it leaves; it goes on to serve. */
     void writeEntry(std::size_t upstream, bool isDraining = false);
 
@@ -127,6 +132,7 @@
     struct UpstreamProcess {
         std::string id;
         std::string service;
+        std::string failureDomain;
         std::uint16_t port = 0;
         std::int64_t startedAtMs = 1;
         std::unique_ptr<Fleet::ChildProcess> process;
--- a/tests/system/restoreproof.cpp
+++ b/tests/system/restoreproof.cpp
@@ -6,8 +6,9 @@
 Proof::ProofResult run(Proof::RestoreFault fault, const std::filesystem::path& programs, std::uint64_t seed)
 {
     const Proof::RestoreScenarioResult result = Proof::runRestoreScenario(fault, programs, seed);
-    return { "next document in force after " + std::to_string(result.slowestApplyMs) + " ms", result.violations,
-        result.logFolder };
+    return { "next document in force after " + std::to_string(result.slowestApplyMs) + " ms, busiest second "
+            + std::to_string(result.busiestReads) + " reads and " + std::to_string(result.busiestWrites) + " writes",
+        result.violations, result.logFolder };
 }
 
 } // namespace
