Write again what was acknowledged in an earlier era of the store than a peer named

What callers could see: a gateway whose address is missing in the store for as long as it lives, or a crash notice that is lost, after a return of the store. Cause: the store's client knew only the eras of its own answers.

StoreSynchronizer::beginEra tells the client, which reports answers of earlier eras as errors as before.

--- a/src/apps/gateway/storesynchronizer.cpp
+++ b/src/apps/gateway/storesynchronizer.cpp
@@ -299,6 +299,7 @@
     const TimePoint now = this->clock.now();
     const bool isFirst = this->era == 0 && !this->operatorFollower.isListed && !this->upstreamFollower.isListed;
     const std::uint64_t previous = std::exchange(this->era, newEra);
+    this->store.beginEra(newEra);
     for (Follower* const follower : this->followers())
         follower->records->beginEra(newEra);
     if (isFirst)
--- a/tests/auto/gateway/tst_storesynchronizer.cpp
+++ b/tests/auto/gateway/tst_storesynchronizer.cpp
@@ -1,5 +1,9 @@
 #include "storesynchronizer.h"
 
+#include "../unusedport.h"
+
+#include <web/httpserver.h>
+
 #include <CppUTest/TestHarness.h>
 #include <asio/io_context.hpp>
 #include <rapidcheck.h>
@@ -334,6 +338,41 @@
     CHECK_TRUE(this->synchronizer.cacheAge() < 1s);
 }
 
+TEST(StoreSynchronizerTest, anAddressWhoseWriteWasAcknowledgedInAnEarlierEraIsWrittenAgain)
+{
+    GatewaySettings settings = makeSettings();
+    const auto port = static_cast<std::uint16_t>(unusedPort());
+    settings.node.storeAddress = "127.0.0.1:" + std::to_string(port);
+    this->synchronizer.setSettings(settings);
+    std::string era = "1";
+    std::vector<std::shared_ptr<Web::HttpExchange>> writes;
+    Web::HttpServer store(
+        this->context, { "127.0.0.1", port, 1 << 20 }, [&](const std::shared_ptr<Web::HttpExchange>& exchange) {
+            if (exchange->request().path == "/log-append")
+                writes.push_back(exchange);
+            else
+                exchange->respond({ 200, "application/json", { { "Store-Era", era } },
+                    R"({"items":[],"has_more":false,"end_offset":0})", false });
+        });
+    store.start([](const std::string&) {});
+    const auto runUntilWrites = [&](std::size_t count) {
+        for (int i = 0; i < 200 && writes.size() < count; ++i) {
+            this->advance(20ms);
+            this->synchronizer.tick();
+            this->context.restart();
+            this->context.run_for(10ms);
+        }
+        return writes.size() >= count;
+    };
+    this->synchronizer.start();
+    CHECK_TRUE(runUntilWrites(1));
+    // Another gateway sees the store come back while the acknowledgement is under way.
+    this->receiveOperator(2, 0, {});
+    writes[0]->respond({ 200, "application/json", { { "Store-Era", "1" } }, "{}", false });
+    era = "2";
+    CHECK_TRUE(runUntilWrites(2));
+}
+
 TEST(StoreSynchronizerTest, anyOrderOfRepliesOverAnyNumberOfErasEndsInTheNewestPolicyAndNeverRevertsOne)
 {
     CHECK_TRUE(rc::check([] {
--- a/tests/auto/platformadapter/tst_storeclient.cpp
+++ b/tests/auto/platformadapter/tst_storeclient.cpp
@@ -91,3 +91,31 @@
         context.run_one_for(std::chrono::milliseconds(100));
     CHECK_TRUE(isRead == false);
 }
+
+TEST(StoreClientTest, aWriteAcknowledgedInAnEarlierEraThanIsKnownCountsAsLost)
+{
+    asio::io_context context;
+    const auto port = static_cast<std::uint16_t>(unusedPort());
+    std::string era = "2";
+    Web::HttpServer server(
+        context, { "127.0.0.1", port, 1 << 20 }, [&era](const std::shared_ptr<Web::HttpExchange>& exchange) {
+            exchange->respond({ 200, "application/json", { { "Store-Era", era } }, "{}", false });
+        });
+    server.start([](const std::string&) {});
+    Platform::HttpTransfers transfers(context);
+    StoreClient client(transfers, "127.0.0.1:" + std::to_string(port));
+    const std::vector<StoreCache::KeyedRecord> records { { "gateway", "address", 0 } };
+    const auto isAcknowledged = [&] {
+        std::optional<bool> isDone;
+        client.append(Topic::peers, records, [&isDone](bool done) { isDone = done; });
+        while (!isDone)
+            context.run_one();
+        return *isDone;
+    };
+    CHECK_TRUE(isAcknowledged());
+    // Another gateway has read from the store after it came back.
+    client.beginEra(3);
+    CHECK_FALSE(isAcknowledged());
+    era = "3";
+    CHECK_TRUE(isAcknowledged());
+}
