Give up a silent attempt sooner once its upstream is not listed any more

What callers saw: a long prompt whose engine was lost with its zone waited for its whole inactivity timeout.

An attempt is now taken as silent after the time that was expected, without the allowance for slow upstreams, if the generation is not listed any more and had not said that it leaves (UpstreamDirectory::hasEndedUnexpectedly). An upstream that drains finishes its work, and entries that are missing after an outage count as listed, so both keep the full timeout.

--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -754,7 +754,7 @@
         this->fail(mayHaveRun ? ResultCode::DeadlineExceeded : ResultCode::DeadlineUnreachable, defaultRetryAfter);
         return;
     }
-    if (!this->attempt || this->attempt->isPaused || now - this->attempt->lastDataAt < this->inactivityTimeout())
+    if (!this->attempt || this->attempt->isPaused || !this->isUpstreamSilent(now))
         return;
     if (this->attempt->isRejected()) {
         this->onRejected();
@@ -781,11 +781,31 @@
     logEvent(Event::AttemptFinished, this->request.id,
         "upstream=" + this->attempt->assignment.upstreamGeneration + " ending=" + std::string(ending)
             + " silent_ms=" + millisecondsText(silence) + " fingerprint=" + this->fingerprint);
-    const bool looksLikeCrash = silence >= this->inactivityTimeout();
+    const bool looksLikeCrash = this->isUpstreamSilent(this->context.clock.now());
     this->recordCrash(
         looksLikeCrash ? Quarantine::CrashCertainty::Suspected : Quarantine::CrashCertainty::Possible, ending);
 }
 
+bool ProxiedRequest::isUpstreamSilent(TimePoint now) const
+{
+    const Duration silence = now - this->attempt->lastDataAt;
+    if (silence >= this->inactivityTimeout())
+        return true;
+    // An upstream that is not listed any more need not be late by much to be taken as down.
+    return silence >= this->expectedSilence()
+        && this->context.storeSynchronizer.directory().hasEndedUnexpectedly(
+            this->attempt->assignment.upstreamGeneration);
+}
+
+Duration ProxiedRequest::expectedSilence() const
+{
+    if (this->route->kind != RequestKind::Stream)
+        return std::max(minimumCallInactivityTimeout, this->route->firstEventTarget);
+    if (!this->attempt->isPrefilling)
+        return this->route->eventGapTarget + eventGapAllowance;
+    return this->attempt->assignment.expectedFirstEventDelay + firstEventAllowance;
+}
+
 Duration ProxiedRequest::inactivityTimeout() const
 {
     if (this->route->kind != RequestKind::Stream)
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -150,8 +150,12 @@
     void onCallerGone();
     void finish();
     Foundation::Duration timeLeft() const;
-    /** Returns how long the upstream of the current attempt may stay silent before the request fails over. */
+    /** Returns whether the upstream of the current attempt has been silent for so long that the request fails over. */
+    bool isUpstreamSilent(Foundation::TimePoint now) const;
+    /** Returns how long a listed upstream may stay silent. */
     Foundation::Duration inactivityTimeout() const;
+    /** Returns how long an upstream stays silent at most if it is as fast as expected. */
+    Foundation::Duration expectedSilence() const;
     /** Records an attempt that may have run and is given up without an answer. */
     void recordUnansweredAttempt(std::string_view ending);
     /** Records that the request was or may have been running when the upstream of the current attempt crashed. */
--- a/src/libs/membership/upstreamdirectory.cpp
+++ b/src/libs/membership/upstreamdirectory.cpp
@@ -56,7 +56,7 @@
     const bool isRestart = entry.startedAtMs != listed.entry.startedAtMs;
     const bool startsDraining = entry.isDraining && (isRestart || !listed.entry.isDraining);
     if (isRestart)
-        this->recordEnded(listed.generationId(), now);
+        this->recordEnded(listed, now);
     if (isRestart || entry.address != listed.entry.address)
         listed.isMisaddressed = false;
     listed.setEntry(entry);
@@ -80,7 +80,7 @@
     }
     const Upstream removed = std::move(found->second);
     this->upstreams.erase(found);
-    this->recordEnded(removed.generationId(), now);
+    this->recordEnded(removed, now);
     this->report(Change::Removed, removed);
 }
 
@@ -96,12 +96,18 @@
         || (isSameGeneration && listed->entry.isDraining && !entry.isDraining);
 }
 
-void UpstreamDirectory::recordEnded(const std::string& generationId, Foundation::TimePoint now)
+void UpstreamDirectory::recordEnded(const Upstream& upstream, Foundation::TimePoint now)
 {
-    std::erase_if(
-        this->endedGenerations, [now](const auto& ended) { return now - ended.second >= endedGenerationRetention; });
+    std::erase_if(this->endedGenerations,
+        [now](const auto& ended) { return now - ended.second.endedAt >= endedGenerationRetention; });
     if (this->endedGenerations.size() < maximumEndedGenerations)
-        this->endedGenerations[generationId] = now;
+        this->endedGenerations[upstream.generationId()] = { now, upstream.entry.isDraining };
+}
+
+bool UpstreamDirectory::hasEndedUnexpectedly(std::string_view generationId) const
+{
+    const auto found = this->endedGenerations.find(generationId);
+    return found != this->endedGenerations.end() && !found->second.wasDraining;
 }
 
 void UpstreamDirectory::extendGracePeriod(Foundation::TimePoint graceEnd)
@@ -131,7 +137,7 @@
             continue;
         const Upstream removed = std::move(current->second);
         this->upstreams.erase(current);
-        this->recordEnded(removed.generationId(), now);
+        this->recordEnded(removed, now);
         this->report(Change::Removed, removed);
     }
 }
--- a/src/libs/membership/upstreamdirectory.h
+++ b/src/libs/membership/upstreamdirectory.h
@@ -111,17 +111,25 @@
     /** @return whether a generation of an upstream is listed, or missing during an outage of the list. */
     bool isGenerationListed(std::string_view generationId) const;
 
+    /** @return whether a generation ended recently and had not said that it leaves. */
+    bool hasEndedUnexpectedly(std::string_view generationId) const;
+
     std::size_t size() const { return this->upstreams.size(); }
 
 private:
     void report(Change change, const Upstream& upstream) const;
-    void recordEnded(const std::string& generationId, Foundation::TimePoint now);
+    void recordEnded(const Upstream& upstream, Foundation::TimePoint now);
+
+    struct EndedGeneration {
+        Foundation::TimePoint endedAt {};
+        bool wasDraining = false;
+    };
 
     ChangeHandler onChange;
     std::map<std::string, Upstream, std::less<>> upstreams;
     std::set<std::string, std::less<>> evacuatedDomains;
-    /** When generations ended, for the time by which a copy of the list may be older than what is known. */
-    std::map<std::string, Foundation::TimePoint, std::less<>> endedGenerations;
+    /** Kept for the time by which a copy of the list may be older than what is known. */
+    std::map<std::string, EndedGeneration, std::less<>> endedGenerations;
     Foundation::TimePoint outageGraceEnd {};
 };
 
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -18,6 +18,8 @@
         { "routes",
             { { { "name", "safe" }, { "host", "h" }, { "path_prefix", "/safe/" }, { "type", "safe" },
                   { "timeout_ms", 900 }, { "goal_ms", 100 }, { "service", "app" }, { "max_attempts", 2 } },
+                { { "name", "slow" }, { "host", "h" }, { "path_prefix", "/slow/" }, { "type", "safe" },
+                    { "timeout_ms", 1900 }, { "goal_ms", 850 }, { "service", "app" }, { "max_attempts", 2 } },
                 { { "name", "unsafe" }, { "host", "h" }, { "path_prefix", "/unsafe/" }, { "type", "unsafe" },
                     { "timeout_ms", 900 }, { "goal_ms", 100 }, { "service", "app" }, { "max_attempts", 1 } },
                 { { "name", "stream" }, { "host", "h" }, { "path_prefix", "/stream/" }, { "type", "streaming" },
@@ -298,6 +300,23 @@
     CHECK_TRUE(took > 850ms && took < 1'400ms);
 }
 
+TEST(GatewayTest, aCallAtASilentUpstreamFailsOverBeforeItsTimeoutOnceTheUpstreamIsNotListedAnyMore)
+{
+    this->startGateway("app");
+    this->upstreamOne.behaviour = UpstreamBehaviour::NeverAnswer;
+    this->store.removeKey("keyed.servers", "two");
+    this->runFor(800ms);
+    const auto start = std::chrono::steady_clock::now();
+    const auto answer = std::make_shared<Answer>();
+    this->send("/slow/x", answer);
+    CHECK_TRUE(this->runUntil([this] { return this->upstreamOne.startedRequests.size() == 1; }));
+    this->store.put("keyed.servers", "two", this->upstreamTwo.entry("app"));
+    this->store.removeKey("keyed.servers", "one");
+    CHECK_TRUE(this->runUntil([&] { return answer->isFinished; }));
+    LONGS_EQUAL(200, answer->result.status);
+    CHECK_TRUE(std::chrono::steady_clock::now() - start < 1'400ms);
+}
+
 TEST(GatewayTest, aDrainingUpstreamGetsNoRequests)
 {
     this->startGateway("app");
--- a/tests/auto/membership/tst_upstreamdirectory.cpp
+++ b/tests/auto/membership/tst_upstreamdirectory.cpp
@@ -84,3 +84,18 @@
     CHECK_TRUE(entryDigest(makeEntry("x")) != entryDigest(makeEntry("x", 2)));
     CHECK_TRUE(entryDigest(makeEntry("x")) != entryDigest(makeEntry("x", 1, true)));
 }
+
+TEST(UpstreamDirectoryTest, onlyAGenerationThatDidNotSayThatItLeavesHasEndedUnexpectedly)
+{
+    this->directory.update(makeEntry("x"), this->now);
+    this->directory.update(makeEntry("y", 1, true), this->now);
+    this->directory.update(makeEntry("z", 1), this->now);
+    CHECK_FALSE(this->directory.hasEndedUnexpectedly("x/1"));
+    this->directory.remove("x", this->now);
+    this->directory.remove("y", this->now);
+    this->directory.update(makeEntry("z", 2), this->now);
+    CHECK_TRUE(this->directory.hasEndedUnexpectedly("x/1"));
+    CHECK_FALSE(this->directory.hasEndedUnexpectedly("y/1"));
+    CHECK_TRUE(this->directory.hasEndedUnexpectedly("z/1"));
+    CHECK_FALSE(this->directory.hasEndedUnexpectedly("z/2"));
+}
