--- a/src/libs/membership/upstreamdirectory.cpp
+++ b/src/libs/membership/upstreamdirectory.cpp
@@ -47,6 +47,7 @@
         Upstream& added = this->upstreams[entry.id];
         added.setEntry(entry);
         added.coldUntil = now + entry.coldLeft;
+        this->endedGenerations.erase(added.generationId());
         this->report(Change::Added, added);
         return;
     }
--- a/tests/auto/membership/tst_upstreamdirectory.cpp
+++ b/tests/auto/membership/tst_upstreamdirectory.cpp
@@ -99,3 +99,12 @@
     CHECK_TRUE(this->directory.hasEndedUnexpectedly("z/1"));
     CHECK_FALSE(this->directory.hasEndedUnexpectedly("z/2"));
 }
+
+TEST(UpstreamDirectoryTest, aGenerationWhoseEntryIsWrittenAgainHasNotEnded)
+{
+    this->directory.update(makeEntry("x"), this->now);
+    this->directory.remove("x", this->now);
+    this->directory.update(makeEntry("x"), this->now + 3s);
+    CHECK_FALSE(this->directory.hasEndedUnexpectedly("x/1"));
+    CHECK_FALSE(this->directory.isSuperseded(makeEntry("x")));
+}
