--- a/tests/standins/faultyupstream.cpp
+++ b/tests/standins/faultyupstream.cpp
@@ -1,6 +1,7 @@
 #include "faultyupstream.h"
 
 #include "answerfault.h"
+#include "rawhttp.h"
 #include "standinanswer.h"
 
 #include <asio/read.hpp>
@@ -12,7 +13,6 @@
 #include <algorithm>
 #include <fcntl.h>
 #include <istream>
-#include <map>
 #include <memory>
 #include <unistd.h>
 
@@ -22,33 +22,6 @@
 // The last two events are cut in the middle of their data, or of the empty line at their end.
 constexpr std::size_t cutDataBytes = 4;
 
-struct ReceivedRequest {
-    std::string path;
-    std::map<std::string, std::string> headers;
-
-    std::string header(const std::string& name) const
-    {
-        const auto found = this->headers.find(name);
-        return found == this->headers.end() ? std::string() : found->second;
-    }
-};
-
-ReceivedRequest parseHead(std::istream& stream)
-{
-    ReceivedRequest request;
-    std::string method;
-    std::string version;
-    stream >> method >> request.path >> version;
-    std::string line;
-    std::getline(stream, line);
-    while (std::getline(stream, line) && line != "\r") {
-        const std::size_t colon = line.find(": ");
-        if (colon != std::string::npos)
-            request.headers[line.substr(0, colon)] = line.substr(colon + 2, line.size() - colon - 3);
-    }
-    return request;
-}
-
 // Returns the events of a run, and where its body breaks off.
 struct Body {
     std::string whole;
@@ -86,16 +59,7 @@
     return { whole, place == AnswerPlace::Body ? whole.size() / 2 : whole.size() };
 }
 
-std::string chunk(const std::string& data)
-{
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::string size;
-    for (std::size_t rest = data.size(); rest > 0; rest /= digits.size())
-        size.insert(size.begin(), digits[rest % digits.size()]);
-    return size + "\r\n" + data + "\r\n";
-}
-
-std::string makeHead(const AnswerFault& fault, const ReceivedRequest& request, bool isStream, std::size_t bodyBytes)
+std::string makeHead(const AnswerFault& fault, const RawRequest& request, bool isStream, std::size_t bodyBytes)
 {
     const int status = fault.endless == EndlessPart::RejectionBody ? 503
         : fault.endless == EndlessPart::ErrorBody                  ? 500
@@ -129,7 +93,7 @@
     while (block.size() < endlessBlockBytes)
         block += unit;
     const bool isBody = part != EndlessPart::Headers && part != EndlessPart::InterimHeads;
-    return isBody && framing == AnswerFraming::Chunks ? chunk(block) : block;
+    return isBody && framing == AnswerFraming::Chunks ? makeChunk(block) : block;
 }
 
 bool isHeadPart(EndlessPart part)
@@ -160,9 +124,8 @@
     void onHead()
     {
         std::istream stream(&this->received);
-        this->request = parseHead(stream);
-        const std::string length = this->request.header("Content-Length");
-        const std::size_t bodyBytes = length.empty() ? 0 : std::stoul(length);
+        this->request = readRawRequest(stream);
+        const std::size_t bodyBytes = this->request.bodyBytes();
         const std::size_t missing = bodyBytes - std::min(bodyBytes, this->received.size());
         asio::async_read(this->socket, this->received, asio::transfer_exactly(missing),
             [self = this->shared_from_this(), bodyBytes](const asio::error_code& error, std::size_t) {
@@ -213,7 +176,7 @@
             if (!isHeadPart(this->fault.endless))
                 text += "\r\n";
             if (this->fault.endless == EndlessPart::Event)
-                text += isChunked ? chunk("data: ") : "data: ";
+                text += isChunked ? makeChunk("data: ") : "data: ";
             this->block = endlessBlock(this->fault.endless, this->fault.framing);
             this->send(text, &Connection::sendBlock);
             return;
@@ -221,7 +184,7 @@
         if (this->fault.place != AnswerPlace::Head) {
             const std::string sent = body.whole.substr(0, body.sentBytes);
             text += "\r\n";
-            text += isChunked && !sent.empty() ? chunk(sent) : sent;
+            text += isChunked && !sent.empty() ? makeChunk(sent) : sent;
             if (isChunked && this->fault.place == AnswerPlace::Whole)
                 text += "0\r\n\r\n";
         }
@@ -280,7 +243,7 @@
     asio::ip::tcp::socket socket;
     asio::steady_timer resetTimer { this->socket.get_executor() };
     asio::streambuf received;
-    ReceivedRequest request;
+    RawRequest request;
     AnswerFault fault;
     std::string unsent;
     std::string block;
--- a/tests/system/gatewayfleet.cpp
+++ b/tests/system/gatewayfleet.cpp
@@ -128,6 +128,11 @@
     return "127.0.0.1:" + std::to_string(this->gateways[index].callerPort);
 }
 
+std::string GatewayFleet::upstreamAddress(std::size_t index) const
+{
+    return "127.0.0.1:" + std::to_string(this->upstreams[index].port);
+}
+
 std::string GatewayFleet::seeds() const
 {
     nlohmann::json list = nlohmann::json::array();
@@ -190,6 +195,13 @@
     this->gateways[index].lastDisturbance = std::chrono::steady_clock::now();
 }
 
+void GatewayFleet::reloadSettings(std::size_t index, int memoryMb)
+{
+    this->plan.gatewayMemoryMb = memoryMb;
+    this->writeSettings(index);
+    this->gateways[index].process->signal(SIGHUP);
+}
+
 bool GatewayFleet::isGatewayInTouch(std::size_t index, TimePoint now) const
 {
     const GatewayProcess& gateway = this->gateways[index];
@@ -250,11 +262,10 @@
             break;
         }
         std::istringstream fields(std::exchange(this->partialLine, {}) + line);
-        std::string what;
         RunLogEntry entry;
         std::int64_t timeMs = 0;
-        fields >> what >> entry.upstream >> entry.request >> timeMs;
-        entry.isCrash = what == "crash";
+        fields >> entry.what >> entry.upstream >> entry.request >> timeMs;
+        entry.isCrash = entry.what == "crash";
         entry.time = TimePoint(std::chrono::milliseconds(timeMs));
         this->entries.push_back(entry);
         if (entry.isCrash)
--- a/tests/system/gatewayfleet.h
+++ b/tests/system/gatewayfleet.h
@@ -19,6 +19,8 @@
 
 /** A line of the run log of the upstreams. */
 struct RunLogEntry {
+    /** What happened: begin or crash, and at some stand-ins end or pause. */
+    std::string what;
     bool isCrash = false;
     std::string upstream;
     std::string request;
@@ -73,6 +75,9 @@
     void pauseGateway(std::size_t index);
     void resumeGateway(std::size_t index);
 
+    /** Writes the settings of a gateway with another memory limit, in MB, and tells it by SIGHUP to read them. */
+    void reloadSettings(std::size_t index, int memoryMb);
+
     /** Returns whether a gateway ran undisturbed for a time that the users call in touch. */
     bool isGatewayInTouch(std::size_t index, Foundation::TimePoint now) const;
 
@@ -85,7 +90,9 @@
         this->store.setRefused(failureDomain, isRefused);
     }
 
+    std::size_t upstreamCount() const { return this->upstreams.size(); }
     const std::string& upstreamId(std::size_t index) const { return this->upstreams[index].id; }
+    std::string upstreamAddress(std::size_t index) const;
 
     /** Returns the failure domain of an upstream, or an empty string if it does not run any more. */
     std::string upstreamDomain(const std::string& upstreamId) const;
