Reproduce parts of prompts that crash upstreams

The stand-in crashes by the id of a part in X-Prefix-Hash; the path is the same for all prompts. The faults of gateways, the count of late runs and the calls of callers are shared with bluebell-prove-crashes now, whose checks and bounds stay.

--- a/tests/standins/crashableupstream.cpp
+++ b/tests/standins/crashableupstream.cpp
@@ -3,6 +3,7 @@
 #include "standinanswer.h"
 
 #include <csignal>
+#include <optional>
 #include <unistd.h>
 
 namespace {
@@ -12,19 +13,51 @@
 // A late crash comes after two events of a stream.
 constexpr int lateCrashStep = 3;
 constexpr auto lateCrashDelay = std::chrono::milliseconds(250);
+constexpr auto partCrashDelay = std::chrono::milliseconds(100);
+constexpr int thirdEvent = 3;
 
 bool hasSegment(const Web::HttpRequest& request, const char* segment)
 {
     return request.path.find(segment) != std::string::npos;
 }
 
+// The last part of a prompt crashes nothing.
+bool hasCrashingPart(const Web::HttpRequest& request)
+{
+    std::string_view parts = request.header("X-Prefix-Hash");
+    for (auto comma = parts.find(','); comma != std::string_view::npos; comma = parts.find(',')) {
+        if (parts.starts_with(crashingPartMark))
+            return true;
+        parts.remove_prefix(comma + 1);
+    }
+    return false;
+}
+
+// How a request crashes the upstream: in place of which step, and how long after the step before.
+struct CrashPlan {
+    int step = 1;
+    std::chrono::milliseconds delay { 0 };
+    bool precedesHead = true;
+};
+
+std::optional<CrashPlan> planCrash(const Web::HttpRequest& request)
+{
+    if (hasSegment(request, "/crash/"))
+        return hasSegment(request, "/late/") ? CrashPlan { lateCrashStep, lateCrashDelay, false } : CrashPlan {};
+    if (!hasSegment(request, "/part/") || !hasCrashingPart(request))
+        return std::nullopt;
+    if (hasSegment(request, "/third/"))
+        return CrashPlan { thirdEvent + 1, partCrashDelay, false };
+    return CrashPlan { 1, partCrashDelay, hasSegment(request, "/head/") };
+}
+
 } // namespace
 
 struct CrashableUpstream::Run {
     std::shared_ptr<Web::HttpExchange> exchange;
     asio::steady_timer timer;
     bool isStream = false;
-    bool crashes = false;
+    std::optional<CrashPlan> crash;
     int step = 0;
 };
 
@@ -51,12 +84,12 @@
         return;
     }
     this->runLog.write("begin", request.header("X-Attempt-Id"));
-    const auto run = std::make_shared<Run>(Run { exchange, asio::steady_timer(this->context) });
+    const auto run = std::make_shared<Run>(Run { exchange, asio::steady_timer(this->context), false, std::nullopt });
     run->isStream = request.path.starts_with("/stream/");
-    run->crashes = hasSegment(request, "/crash/");
-    if (run->crashes && !hasSegment(request, "/late/"))
+    run->crash = planCrash(request);
+    if (run->crash && run->crash->delay.count() == 0)
         this->crash(request);
-    if (run->isStream) {
+    if (run->isStream && !(run->crash && run->crash->precedesHead)) {
         Web::HttpReply head = makeSignedReply(request, 200, "");
         head.contentType = "text/event-stream";
         exchange->beginStream(head);
@@ -68,8 +101,8 @@
 
 void CrashableUpstream::continueRun(const std::shared_ptr<Run>& run)
 {
-    const bool waitsForCrash = run->crashes && run->step + 1 >= lateCrashStep;
-    run->timer.expires_after(waitsForCrash ? lateCrashDelay : stepInterval);
+    const bool waitsForCrash = run->crash && run->step + 1 >= run->crash->step;
+    run->timer.expires_after(waitsForCrash ? run->crash->delay : stepInterval);
     run->timer.async_wait([this, run, waitsForCrash](const asio::error_code&) {
         const Web::HttpRequest& request = run->exchange->request();
         if (waitsForCrash)
--- a/tests/standins/crashableupstream.h
+++ b/tests/standins/crashableupstream.h
@@ -10,11 +10,16 @@
 #include <memory>
 #include <string>
 
+/** The beginning of the ids of parts that crash upstreams. */
+constexpr const char* crashingPartMark = "dead";
+
 /**
  * Stand-in for an upstream in a process of its own, which requests can crash. A request whose path contains the
  * segments /crash/reset/ or /crash/silence/ kills or stops the process; with the segment /late/ it does so in the
- * middle of the run, also if the caller has left. Each request that begins to run, and each crash, is a line of the run
- * log.
+ * middle of the run, also if the caller has left. A path that contains /part/reset/ or /part/silence/ crashes it only
+ * if a part of the prompt other than the last has an id that begins with crashingPartMark; the segments /head/, /first/
+ * and /third/ say whether it crashes before the head, in place of the first event or after three events. Each request
+ * that begins to run, and each crash, is a line of the run log.
  */
 class CrashableUpstream {
 public:
--- a/tests/system/crashscenario.cpp
+++ b/tests/system/crashscenario.cpp
@@ -1,6 +1,7 @@
 #include "crashscenario.h"
 
 #include "fleetrunner.h"
+#include "lateruncounter.h"
 
 #include <algorithm>
 #include <map>
@@ -16,7 +17,6 @@
 // The users' rule: after three crashes and the stability window, three more retries may reach upstreams.
 constexpr std::size_t crashLimit = 3;
 constexpr std::size_t allowedLateRuns = 3;
-constexpr Duration stabilityWindow = 3s;
 constexpr Duration longestRun = 40s;
 // How long the request is still sent once late runs count.
 constexpr Duration lateTime = 8s;
@@ -24,10 +24,6 @@
 constexpr Duration otherRequestInterval = 50ms;
 // Before a caller or a gateway can notice a silent upstream, and before a late crash.
 constexpr Duration leaveDelay = 150ms;
-constexpr Duration pauseLength = 2s;
-constexpr Duration pauseInterval = 2'300ms;
-constexpr Duration killInterval = 1'500ms;
-constexpr Duration restartDelay = 300ms;
 // Other requests must be served at least this often, although upstreams are down and gateways disturbed.
 constexpr double servedFraction = 0.5;
 
@@ -44,23 +40,6 @@
     return "";
 }
 
-const char* faultName(GatewayFault fault)
-{
-    switch (fault) {
-    case GatewayFault::None:
-        return "calm";
-    case GatewayFault::Pause:
-        return "pause";
-    case GatewayFault::KillInTurn:
-        return "killturn";
-    case GatewayFault::KillAll:
-        return "killall";
-    case GatewayFault::StoreAway:
-        return "storeaway";
-    }
-    return "";
-}
-
 // Runs one scenario on a context of its own.
 class CrashScenarioRun {
 public:
@@ -68,7 +47,7 @@
         : scenario(scenario)
         , random(seed)
         , fleet(this->context, programs, {}, seed)
-        , killsAllAfter(seed % 2 == 0 ? crashLimit : crashLimit - 1)
+        , disturbance(this->fleet, scenario.fault, seed % 2 == 0 ? crashLimit : crashLimit - 1)
     {
     }
 
@@ -79,8 +58,7 @@
         this->isLoaded = true;
         this->runner.runFor(stabilityWindow + 500ms);
         this->begin = std::chrono::steady_clock::now();
-        if (this->scenario.fault == GatewayFault::StoreAway)
-            this->fleet.setStoreUnavailable(true);
+        this->disturbance.begin(this->begin);
         this->runner.runUntil([this] { return this->isOver(); }, longestRun);
         return this->evaluate();
     }
@@ -101,7 +79,7 @@
         }
         if (this->begin == TimePoint {})
             return;
-        this->injectFaults(now);
+        this->disturbance.step(now, this->crashing.crashes());
         this->letCallersLeave(now);
         if (now >= this->nextCrashRequest) {
             this->nextCrashRequest = now + crashRequestInterval;
@@ -109,48 +87,6 @@
         }
     }
 
-    void injectFaults(TimePoint now)
-    {
-        const Duration elapsed = now - this->begin;
-        if (this->scenario.fault == GatewayFault::Pause)
-            this->pauseInTurn(now);
-        else if (this->scenario.fault == GatewayFault::KillInTurn && elapsed >= (this->faultCount + 1) * killInterval)
-            this->kill(this->faultCount++ % this->fleet.gatewayCount(), now);
-        else if (this->scenario.fault == GatewayFault::KillAll && this->faultCount == 0
-            && this->crashTimes().size() >= this->killsAllAfter) {
-            ++this->faultCount;
-            for (std::size_t i = 0; i < this->fleet.gatewayCount(); ++i)
-                this->kill(i, now);
-        }
-        std::erase_if(this->restarts, [this, now](const auto& restart) {
-            if (now < restart.second)
-                return false;
-            this->fleet.startGateway(restart.first);
-            return true;
-        });
-    }
-
-    void pauseInTurn(TimePoint now)
-    {
-        if (this->pausedGateway && now >= this->pauseEnd) {
-            this->fleet.resumeGateway(*this->pausedGateway);
-            this->pausedGateway.reset();
-        }
-        if (this->pausedGateway || now - this->begin < (this->faultCount + 1) * pauseInterval)
-            return;
-        this->pausedGateway = this->faultCount++ % this->fleet.gatewayCount();
-        this->pauseEnd = now + pauseLength;
-        this->fleet.pauseGateway(*this->pausedGateway);
-    }
-
-    void kill(std::size_t gateway, TimePoint now)
-    {
-        if (!this->fleet.isGatewayRunning(gateway))
-            return;
-        this->fleet.killGateway(gateway);
-        this->restarts[gateway] = now + restartDelay;
-    }
-
     void letCallersLeave(TimePoint now)
     {
         for (auto& [id, request] : this->sent) {
@@ -201,17 +137,10 @@
     void send(const std::string& id, const std::string& path, const std::string& method, const std::string& body,
         std::function<void(const Platform::HttpCallResult&, const std::string&)> onEnd)
     {
-        std::size_t gateway = this->random() % this->fleet.gatewayCount();
-        while (!this->fleet.isGatewayRunning(gateway) && !this->areAllDown())
-            gateway = (gateway + 1) % this->fleet.gatewayCount();
-        Platform::HttpCall call;
+        const std::size_t gateway = this->fleet.pickRunningGateway(this->random);
+        Platform::HttpCall call = this->fleet.makeCall(gateway, id, path);
         call.method = method;
-        call.url = "http://" + this->fleet.gatewayAddress(gateway) + path;
-        call.headers = { "Host: h", "X-Attempt-Id: " + id, "X-Deadline-Ms: 6000", "Authorization: Token key",
-            "X-Token-Usage: 1000,50" };
         call.body = body;
-        call.timeout = 8s;
-        call.connectionUse = Platform::ConnectionUse::Dedicated;
         const auto received = std::make_shared<std::string>();
         SentRequest& request = this->sent[id];
         request.gateway = gateway;
@@ -221,31 +150,11 @@
                     const Platform::HttpCallResult& answer) { onEnd(answer, *received); } });
     }
 
-    bool areAllDown() const
-    {
-        for (std::size_t i = 0; i < this->fleet.gatewayCount(); ++i) {
-            if (this->fleet.isGatewayRunning(i))
-                return false;
-        }
-        return true;
-    }
-
-    std::vector<TimePoint> crashTimes() const
-    {
-        std::vector<TimePoint> times;
-        for (const RunLogEntry& entry : this->fleet.runLog()) {
-            if (entry.isCrash)
-                times.push_back(entry.time);
-        }
-        return times;
-    }
-
     bool isOver()
     {
         this->countNewRuns();
-        const std::vector<TimePoint> crashes = this->crashTimes();
-        return crashes.size() >= crashLimit
-            && std::chrono::steady_clock::now() >= crashes[crashLimit - 1] + stabilityWindow + lateTime;
+        return this->crashing.isLimitReached()
+            && std::chrono::steady_clock::now() >= *this->crashing.limitReachedAt() + stabilityWindow + lateTime;
     }
 
     // Counts while the scenario runs, since a gateway is in touch or not at the time of the run.
@@ -255,17 +164,10 @@
         for (; this->countedEntries < log.size(); ++this->countedEntries) {
             const RunLogEntry& entry = log[this->countedEntries];
             const auto request = this->sent.find(entry.request);
-            if (entry.isCrash) {
-                ++this->result.crashes;
-                if (this->result.crashes == crashLimit)
-                    this->thirdCrash = entry.time;
-                continue;
-            }
-            const bool isLateRun
-                = this->result.crashes >= crashLimit && entry.time > this->thirdCrash + stabilityWindow;
-            if (isLateRun && entry.request.starts_with("crash-") && request != this->sent.end()
-                && this->fleet.isGatewayInTouch(request->second.gateway, entry.time))
-                ++this->result.lateRuns;
+            if (entry.isCrash)
+                this->crashing.addCrash(entry.time);
+            else if (entry.request.starts_with("crash-") && request != this->sent.end())
+                this->crashing.addRun(entry.time, this->fleet.isGatewayInTouch(request->second.gateway, entry.time));
         }
     }
 
@@ -274,6 +176,8 @@
         this->countNewRuns();
         CrashScenarioResult evaluated = this->result;
         evaluated.logFolder = this->fleet.logFolder();
+        evaluated.crashes = this->crashing.crashes();
+        evaluated.lateRuns = this->crashing.lateRuns();
         if (evaluated.crashes < crashLimit)
             evaluated.violations.push_back("the request crashed fewer than three upstreams, so nothing was checked");
         if (evaluated.lateRuns > allowedLateRuns)
@@ -293,21 +197,16 @@
     std::mt19937_64 random;
     GatewayFleet fleet;
     FleetRunner runner { this->context, this->fleet, [this](TimePoint now) { this->step(now); } };
-    std::size_t killsAllAfter;
+    GatewayDisturbance disturbance;
+    LateRunCounter crashing { crashLimit };
     CrashScenarioResult result;
     std::map<std::string, SentRequest> sent;
     std::size_t countedEntries = 0;
-    TimePoint thirdCrash {};
     int lastNumber = 0;
     bool isLoaded = false;
     TimePoint begin {};
     TimePoint nextCrashRequest {};
     TimePoint nextOtherRequest {};
-    std::size_t faultCount = 0;
-    std::optional<std::size_t> pausedGateway;
-    TimePoint pauseEnd {};
-    /** When killed gateways start again, by index. */
-    std::map<std::size_t, TimePoint> restarts;
 };
 
 } // namespace
--- a/tests/system/crashscenario.h
+++ b/tests/system/crashscenario.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include "gatewaydisturbance.h"
+
 #include <cstdint>
 #include <filesystem>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,19 +12,6 @@
 /** The kind of a request that crashes upstreams. */
 enum class CrashRequestKind : std::uint8_t { Safe, Unsafe, Stream };
 
-/** What happens to the gateways while the request is sent again and again. */
-enum class GatewayFault : std::uint8_t {
-    None,
-    /** Each in turn is stopped by a signal for two seconds. */
-    Pause,
-    /** Each in turn is killed and started again. */
-    KillInTurn,
-    /** All are killed at once, after the second or the third crash. */
-    KillAll,
-    /** The store turns all gateways away, so that they see no new entry of an upstream. */
-    StoreAway,
-};
-
 /** A request that crashes every upstream that runs it, and how its callers and the gateways behave meanwhile. */
 struct CrashScenario {
     CrashRequestKind kind = CrashRequestKind::Safe;
--- a/tests/system/gatewayfleet.cpp
+++ b/tests/system/gatewayfleet.cpp
@@ -1,5 +1,7 @@
 #include "gatewayfleet.h"
 
+#include "lateruncounter.h"
+
 #include <fleet/fleet.h>
 #include <foundation/identifier.h>
 #include <standinanswer.h>
@@ -17,8 +19,6 @@
 using Foundation::Duration;
 using Foundation::TimePoint;
 
-// The users' stability window: a process that was disturbed within this time is not in touch.
-constexpr Duration stabilityWindow = std::chrono::seconds(3);
 // An entry expires after three check-in intervals of 1.2 s without a word of its upstream.
 constexpr Duration entryLifetime = std::chrono::milliseconds(3'600);
 // Longer than any route's timeout, so that a stopped upstream stays silent until all its callers have given up.
@@ -202,6 +202,29 @@
     this->gateways[index].process->signal(SIGHUP);
 }
 
+std::size_t GatewayFleet::pickRunningGateway(std::mt19937_64& generator) const
+{
+    const std::size_t first = generator() % this->gateways.size();
+    for (std::size_t i = 0; i < this->gateways.size(); ++i) {
+        const std::size_t index = (first + i) % this->gateways.size();
+        if (this->gateways[index].isRunning)
+            return index;
+    }
+    return first;
+}
+
+Platform::HttpCall GatewayFleet::makeCall(
+    std::size_t gateway, const std::string& attemptId, const std::string& path) const
+{
+    Platform::HttpCall call;
+    call.url = "http://" + this->gatewayAddress(gateway) + path;
+    call.headers = { "Host: h", "X-Attempt-Id: " + attemptId, "X-Deadline-Ms: 6000", "Authorization: Token key",
+        "X-Token-Usage: 1000,50" };
+    call.timeout = std::chrono::seconds(8);
+    call.connectionUse = Platform::ConnectionUse::Dedicated;
+    return call;
+}
+
 bool GatewayFleet::isGatewayInTouch(std::size_t index, TimePoint now) const
 {
     const GatewayProcess& gateway = this->gateways[index];
@@ -243,6 +266,16 @@
 
 void GatewayFleet::expireUpstreamHistory() { this->store.expireHistory(upstreamTopic); }
 
+void GatewayFleet::crashUpstream(std::size_t index)
+{
+    this->upstreams[index].process->kill();
+    this->onCrash({ true, this->upstreams[index].id, {}, std::chrono::steady_clock::now() });
+}
+
+void GatewayFleet::pauseUpstream(std::size_t index) { this->upstreams[index].process->signal(SIGSTOP); }
+
+void GatewayFleet::resumeUpstream(std::size_t index) { this->upstreams[index].process->signal(SIGCONT); }
+
 void GatewayFleet::restartUpstream(std::size_t upstream)
 {
     UpstreamProcess& restarted = this->upstreams[upstream];
--- a/tests/system/gatewayfleet.h
+++ b/tests/system/gatewayfleet.h
@@ -78,6 +78,12 @@
     /** Writes the settings of a gateway with another memory limit, in MB, and tells it by SIGHUP to read them. */
     void reloadSettings(std::size_t index, int memoryMb);
 
+    /** Returns one of the gateways that run; any if none does. */
+    std::size_t pickRunningGateway(std::mt19937_64& generator) const;
+
+    /** Returns a call on a connection of its own to a gateway, as a caller sends it with the default key. */
+    Platform::HttpCall makeCall(std::size_t gateway, const std::string& attemptId, const std::string& path) const;
+
     /** Returns whether a gateway ran undisturbed for a time that the users call in touch. */
     bool isGatewayInTouch(std::size_t index, Foundation::TimePoint now) const;
 
@@ -106,6 +112,14 @@
     /** Expires the history of all upstreams' entries, so that they can only be read as a listing. */
     void expireUpstreamHistory();
 
+    std::size_t upstreamCount() const { return this->upstreams.size(); }
+    bool isUpstreamRunning(std::size_t index) const { return !this->upstreams[index].restartAt; }
+
+    /** Kills an upstream without a request that causes it; it comes back as after other crashes. */
+    void crashUpstream(std::size_t index);
+    void pauseUpstream(std::size_t index);
+    void resumeUpstream(std::size_t index);
+
     /** Replaces an upstream's process, which writes its entry anew under the same id. */
     void restartUpstream(std::size_t upstream);
 
