--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -96,8 +96,10 @@
                       "upstream=" + notice.generation
                           + " observation=told pause_ms=" + std::to_string(notice.ejectionMs)
                           + " help_only=" + std::to_string(int(notice.isHelpRefusal)));
-                  if (!notice.isHelpRefusal)
+                  if (notice.isRefused) {
+                      this->health.recordPeerRefusal(notice.generation, this->clock.now());
                       this->suspects.suspectGeneration(notice.generation);
+                  }
               },
               [this] { return this->ledger.ownUsage(); }, [this] { return this->makeSuspectSnapshot(); },
               [this] { this->applyLimits(); } })
@@ -117,12 +119,14 @@
     , dispatcher(this->clock, this->storeSynchronizer.directory(), this->health, this->ledger,
           settings.node.regionByFailureDomain, settings.node.failureDomain, settings.node.name)
     , proxyContext { this->clock, this->metrics, this->transfers, this->storeSynchronizer, this->dispatcher,
-        this->ledger, this->retryBudget, this->health, this->suspects, this->answerMemory, this->memoryLeases,
-        [this](bool isAdded) { this->onLoadChanged(isAdded); },
+        this->ledger, this->retryBudget, this->health, this->suspects, this->silenceWatch, this->answerMemory,
+        this->memoryLeases, [this](bool isAdded) { this->onLoadChanged(isAdded); },
         [this](const std::vector<CrashNotice>& notices) { this->onOwnSuspects(notices); },
         [this](const CrashNotice& notice) {
             this->peers.broadcast(Wire::SuspectNotice { {}, {}, {}, { notice } });
         },
+        [this](const std::string& generation) { this->onSilenceEnded(generation); },
+        [this](const Quarantine::WatchedAttempt& attempt) { this->onSilentCrash(attempt); },
         [this](const std::string& fingerprint) { this->onExonerated(fingerprint); },
         [this](const Wire::UpstreamFailureNotice& notice) { this->broadcastUpstreamFailure(notice); },
         [this](const ProxiedRequest& request) {
@@ -232,6 +236,37 @@
     this->suspectStore.remove(fingerprint);
 }
 
+void GatewayCore::onSilenceEnded(const std::string& generation)
+{
+    for (const Quarantine::WatchedAttempt& watched : this->silenceWatch.takeGeneration(generation))
+        this->transfers.cancel(watched.call);
+    const std::vector<CrashNotice> withdrawn = this->suspects.withdrawGeneration(generation);
+    if (!withdrawn.empty())
+        this->peers.broadcast(Wire::SuspectNotice { {}, {}, {}, withdrawn });
+    this->health.recordRecovery(generation, this->clock.now());
+    logEvent(
+        Event::SilenceEnded, "", "upstream=" + generation + " withdrawn_crashes=" + std::to_string(withdrawn.size()));
+    this->onLoadChanged(false);
+}
+
+void GatewayCore::onSilentCrash(const Quarantine::WatchedAttempt& attempt)
+{
+    this->transfers.cancel(attempt.call);
+    CrashNotice notice = attempt.notice;
+    notice.certainty = CrashCertainty::Suspected;
+    if (this->suspects.record(notice)) {
+        this->logSuspect(notice, "silent");
+        this->onOwnSuspects({ notice });
+    }
+    this->onOwnSuspects(this->suspects.suspectGeneration(attempt.generation));
+}
+
+void GatewayCore::checkWatchedAttempts()
+{
+    for (const Quarantine::WatchedAttempt& attempt : this->silenceWatch.takeOverdue(this->clock.now()))
+        this->onSilentCrash(attempt);
+}
+
 void GatewayCore::confirmCrashes()
 {
     const TimePoint now = this->clock.now();
@@ -240,7 +275,8 @@
         return;
     this->nextCrashConfirmation = now + crashConfirmationInterval;
     const std::vector<CrashNotice> confirmed = this->suspects.confirmEnded(
-        [&directory](std::string_view generation) { return directory.isGenerationListed(generation); });
+        [&directory](std::string_view generation) { return directory.isGenerationListed(generation); },
+        [&directory](std::string_view generation) { return directory.hasEndedUnexpectedly(generation); });
     if (!confirmed.empty())
         this->peers.broadcast(makeSuspectNotice(confirmed));
     for (const CrashNotice& notice : confirmed) {
@@ -311,6 +347,7 @@
             "late_ms=" + std::to_string(Foundation::toMilliseconds(delay))
                 + " under_way=" + std::to_string(this->requests.size()));
     this->storeSynchronizer.tick();
+    this->checkWatchedAttempts();
     this->confirmCrashes();
     this->flushPossibleCrashes();
     this->suspectStore.tick();
--- a/src/apps/gateway/gatewaycore.h
+++ b/src/apps/gateway/gatewaycore.h
@@ -61,6 +61,11 @@
     Wire::SuspectNotice makeSuspectSnapshot() const;
     void onExonerated(const std::string& fingerprint);
     void confirmCrashes();
+    /** Handles that an upstream that was silent has gone on, so that it has not crashed. */
+    void onSilenceEnded(const std::string& generation);
+    /** Counts a silent upstream as crashed, since it has been silent for longer than a sound one. */
+    void onSilentCrash(const Quarantine::WatchedAttempt& attempt);
+    void checkWatchedAttempts();
     /** Tells the other gateways of the possible crashes that were recorded since the last call. */
     void flushPossibleCrashes();
     void logSuspect(const Quarantine::CrashNotice& notice, std::string_view ending) const;
@@ -80,6 +85,7 @@
     Relay::UpstreamHealth health;
     Relay::LocalRetryBudget retryBudget;
     Quarantine::SuspectRegistry suspects;
+    Quarantine::SilenceWatch silenceWatch;
     Relay::AnswerMemory answerMemory;
     PeerConnections peers;
     StoreSynchronizer storeSynchronizer;
--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -16,12 +16,15 @@
 using Policy::RequestKind;
 using Relay::FailoverAction;
 using Relay::Observation;
+using Relay::SilenceAction;
 
 // For requests without a caller timeout; the timeout of the route is usually shorter.
 constexpr Duration defaultCallerTimeout = std::chrono::seconds(60);
 // The TCP handshake takes a few ms; an upstream that does not complete it is down or unreachable.
 constexpr Duration connectTimeout = std::chrono::milliseconds(300);
-constexpr std::chrono::milliseconds unacknowledgedTimeout { 1'500 };
+// A silent upstream that does not read does not acknowledge a long body either.
+constexpr auto unacknowledgedTimeout
+    = std::chrono::duration_cast<std::chrono::milliseconds>(Relay::longestSoundSilence);
 // Upstreams close idle connections after a few seconds, so connections that were idle for longer are not reused.
 constexpr std::chrono::seconds maximumIdleConnectionAge { 2 };
 // If a prefill helper is gone, the engine stalls for 1.5 s before it rejects the prompt.
@@ -257,7 +260,7 @@
 
 void ProxiedRequest::beginAttempt(const Assignment& assignment)
 {
-    ++this->currentAttemptNumber;
+    this->currentAttemptNumber = ++this->lastAttemptNumber;
     this->attempt.emplace();
     this->attempt->assignment = assignment;
     this->attempt->memory = std::make_shared<Relay::AnswerMemory::Share>(this->context.answerMemory);
@@ -329,7 +332,8 @@
     call.url = "http://" + assignment.address + source.target;
     call.headers = PlatformAdapter::encodeForwardingHeaders(source, this->makeForwardingHeaders(leaseNames));
     call.body = source.body;
-    call.timeout = this->timeLeft() + std::chrono::milliseconds(100);
+    // The attempt ends at the deadline at the latest; its call may be watched after that.
+    call.timeout = this->timeLeft() + Relay::longestSoundSilence;
     call.connectTimeout = connectTimeout;
     call.unacknowledgedTimeout = unacknowledgedTimeout;
     call.maximumIdleAge = maximumIdleConnectionAge;
@@ -355,8 +359,11 @@
 
 void ProxiedRequest::onAnswerHead(std::uint64_t attemptNumber, Platform::HttpAnswerHead head)
 {
-    if (!this->attempt || attemptNumber != this->currentAttemptNumber)
+    const bool isCurrent = this->attempt && attemptNumber == this->currentAttemptNumber;
+    if (!isCurrent && !this->resumeParkedAttempt(attemptNumber)) {
+        this->onLateData(attemptNumber);
         return;
+    }
     this->attempt->lastDataAt = this->context.clock.now();
     this->attempt->headers = PlatformAdapter::decodeAnswerHeaders(head, this->request.id);
     this->context.suspects.recordAnswer(this->attempt->assignment.upstreamGeneration);
@@ -378,8 +385,11 @@
 
 void ProxiedRequest::onAnswerData(std::uint64_t attemptNumber, std::string_view data)
 {
-    if (!this->attempt || attemptNumber != this->currentAttemptNumber)
+    const bool isCurrent = this->attempt && attemptNumber == this->currentAttemptNumber;
+    if (!isCurrent && !this->resumeParkedAttempt(attemptNumber)) {
+        this->onLateData(attemptNumber);
         return;
+    }
     this->attempt->lastDataAt = this->context.clock.now();
     if (this->attempt->isRejected()) {
         this->attempt->rejectionBytes += data.size();
@@ -467,6 +477,7 @@
 
 void ProxiedRequest::recordFirstEvent()
 {
+    this->dropParkedAttempt();
     if (!this->attempt->isPrefilling)
         return;
     this->attempt->isPrefilling = false;
@@ -480,13 +491,112 @@
     this->context.onLoadChanged(false);
 }
 
+void ProxiedRequest::onLateData(std::uint64_t attemptNumber)
+{
+    if (this->parked && this->parked->number == attemptNumber) {
+        const ParkedAttempt late = std::move(*this->parked);
+        this->parked.reset();
+        this->releaseAttempt(late.attempt, std::nullopt);
+        this->context.onSilenceEnded(late.attempt.assignment.upstreamGeneration);
+        return;
+    }
+    const auto found = this->watchedCalls.find(attemptNumber);
+    if (found == this->watchedCalls.end())
+        return;
+    const auto watched = this->context.silenceWatch.take(found->second);
+    this->watchedCalls.erase(found);
+    if (!watched)
+        return;
+    this->context.transfers.cancel(watched->call);
+    this->context.onSilenceEnded(watched->generation);
+}
+
+void ProxiedRequest::onLateBreak(std::uint64_t attemptNumber)
+{
+    if (this->parked && this->parked->number == attemptNumber) {
+        const ParkedAttempt broken = std::move(*this->parked);
+        this->parked.reset();
+        this->recordCrash(broken.attempt, Quarantine::CrashCertainty::Suspected, "broken");
+        this->releaseAttempt(broken.attempt, Observation::Broken);
+        return;
+    }
+    const auto found = this->watchedCalls.find(attemptNumber);
+    if (found == this->watchedCalls.end())
+        return;
+    const auto watched = this->context.silenceWatch.take(found->second);
+    this->watchedCalls.erase(found);
+    if (watched)
+        this->context.onSilentCrash(*watched);
+}
+
+bool ProxiedRequest::resumeParkedAttempt(std::uint64_t attemptNumber)
+{
+    if (this->hasEnded || !this->parked || this->parked->number != attemptNumber)
+        return false;
+    this->returnToParkedAttempt();
+    this->context.onSilenceEnded(this->attempt->assignment.upstreamGeneration);
+    return true;
+}
+
+void ProxiedRequest::returnToParkedAttempt()
+{
+    if (this->queuedPromptId != 0)
+        this->context.dispatcher.withdraw(this->queuedPromptId);
+    this->queuedPromptId = 0;
+    if (this->attempt && this->attempt->call != 0 && !this->attempt->isRejected())
+        ++this->runs;
+    this->closeAttempt(std::nullopt);
+    this->attempt = std::move(this->parked->attempt);
+    this->events = std::move(this->parked->events);
+    this->currentAttemptNumber = this->parked->number;
+    this->parked.reset();
+}
+
+void ProxiedRequest::parkSilentAttempt()
+{
+    const std::string generation = this->attempt->assignment.upstreamGeneration;
+    this->parked = ParkedAttempt { this->currentAttemptNumber, std::move(*this->attempt), this->events };
+    this->attempt.reset();
+    this->currentAttemptNumber = ++this->lastAttemptNumber;
+    this->recordObservation(generation, Observation::Silent);
+    this->criteria.triedGenerations.insert(generation);
+}
+
+void ProxiedRequest::dropParkedAttempt()
+{
+    if (!this->parked)
+        return;
+    ParkedAttempt dropped = std::move(*this->parked);
+    this->parked.reset();
+    this->watchSilentAttempt(dropped.attempt, dropped.number);
+    this->releaseAttempt(dropped.attempt, std::nullopt);
+}
+
+void ProxiedRequest::checkParkedAttempt(TimePoint now)
+{
+    if (!this->parked || now - this->parked->attempt.lastDataAt < this->crashSilence(this->parked->attempt))
+        return;
+    const ParkedAttempt ended = std::move(*this->parked);
+    this->parked.reset();
+    this->recordCrash(ended.attempt, Quarantine::CrashCertainty::Suspected, "silent");
+    this->releaseAttempt(ended.attempt, Observation::Silent);
+}
+
 void ProxiedRequest::onCallEnded(std::uint64_t attemptNumber, const Platform::HttpCallResult& result)
 {
-    if (!this->attempt || attemptNumber != this->currentAttemptNumber)
+    const bool isCurrent = this->attempt && attemptNumber == this->currentAttemptNumber;
+    const bool isWhole = result.outcome == Platform::CallOutcome::Complete;
+    if (!isCurrent && !(isWhole && this->resumeParkedAttempt(attemptNumber))) {
+        // An upstream that ends an answer in order has gone on.
+        if (isWhole)
+            this->onLateData(attemptNumber);
+        else
+            this->onLateBreak(attemptNumber);
         return;
+    }
     if (result.outcome == Platform::CallOutcome::NotConnected) {
         this->withdrawAnnouncement();
-        this->closeAttempt(Observation::Unreachable);
+        this->closeAttempt(result.isRefused ? Observation::Refused : Observation::Unreachable);
         this->onAttemptFailed(RunOutcome::NotRun, ResultCode::UpstreamDown, false);
         return;
     }
@@ -498,8 +608,11 @@
         logEvent(Event::AttemptFinished, this->request.id,
             "upstream=" + this->attempt->assignment.upstreamGeneration + " error=" + defect
                 + " partial_event_bytes=" + std::to_string(this->events.partialEvent().size()));
-        this->recordCrash(Quarantine::CrashCertainty::Suspected, "broken");
-        this->closeAttempt(Observation::Broken);
+        // A stream that is resumed after its last event is empty, so an orderly end before another one is no crash.
+        const bool mayBeWhole = isWhole && this->hasStreamBegun && this->attempt->isPrefilling;
+        this->recordCrash(
+            mayBeWhole ? Quarantine::CrashCertainty::Possible : Quarantine::CrashCertainty::Suspected, "broken");
+        this->closeAttempt(mayBeWhole ? Observation::Failed : Observation::Broken);
         this->onAttemptFailed(RunOutcome::MayHaveRun, ResultCode::AnswerIncomplete, true);
         return;
     }
@@ -528,7 +641,7 @@
         = !faultyAddress.empty() && faultyAddress != this->attempt->assignment.address && !headers.isMisaddressed;
     if (isHelperFault)
         this->recordHelperFailure(faultyAddress);
-    this->closeAttempt(headers.isMisaddressed ? Observation::Unreachable : Observation::Answered);
+    this->closeAttempt(headers.isMisaddressed ? Observation::Refused : Observation::Answered);
     // The helper was at fault, so the upstream itself may receive the request again.
     if (isHelperFault)
         this->criteria.triedGenerations.erase(generation);
@@ -608,27 +721,38 @@
         return;
     const Attempt closed = std::move(*this->attempt);
     this->attempt.reset();
-    ++this->currentAttemptNumber;
-    if (closed.call != 0)
+    this->currentAttemptNumber = ++this->lastAttemptNumber;
+    this->criteria.triedGenerations.insert(closed.assignment.upstreamGeneration);
+    this->releaseAttempt(closed, observation);
+}
+
+void ProxiedRequest::releaseAttempt(const Attempt& closed, std::optional<Observation> observation)
+{
+    if (closed.call != 0 && !closed.isWatched)
         this->context.transfers.cancel(closed.call);
     if (closed.memoryReservation != 0)
         this->context.memoryLeases.release(closed.memoryReservation);
     this->context.ledger.removeRequest(closed.assignment.dispatchedRequestId);
-    const std::string& generation = closed.assignment.upstreamGeneration;
+    if (observation)
+        this->recordObservation(closed.assignment.upstreamGeneration, *observation);
+    this->context.onLoadChanged(false);
+}
+
+void ProxiedRequest::recordObservation(const std::string& generation, Observation observation)
+{
     const TimePoint now = this->context.clock.now();
+    const bool isRefused = observation == Observation::Refused;
     // Attempts that ended before this one for other reasons may have met the same crash.
-    if (observation == Observation::Unreachable || observation == Observation::Broken)
+    if (isRefused || observation == Observation::Broken)
         this->context.onSuspects(this->context.suspects.suspectGeneration(generation));
-    if (observation && this->context.health.recordObservation(generation, *observation, now)) {
-        logEvent(Event::UpstreamLeftOut, this->request.id,
-            "upstream=" + generation + " observation=" + std::to_string(static_cast<int>(*observation)));
-        // Only failed connection attempts are published: a single connection may break for unrelated reasons.
-        if (*observation == Observation::Unreachable)
-            this->context.onUpstreamEjected({ generation,
-                Foundation::toMilliseconds(this->context.health.ejectionTimeLeft(generation, now)), false });
-    }
-    this->criteria.triedGenerations.insert(generation);
-    this->context.onLoadChanged(false);
+    if (!this->context.health.recordObservation(generation, observation, now))
+        return;
+    logEvent(Event::UpstreamLeftOut, this->request.id,
+        "upstream=" + generation + " observation=" + std::to_string(static_cast<int>(observation)));
+    // Only failed connection attempts are published: a single connection may break for unrelated reasons.
+    if (observation == Observation::Unreachable || isRefused)
+        this->context.onUpstreamEjected({ generation,
+            Foundation::toMilliseconds(this->context.health.ejectionTimeLeft(generation, now)), false, isRefused });
 }
 
 Relay::RequestProgress ProxiedRequest::progressAfter(RunOutcome outcome) const
@@ -687,6 +811,10 @@
 {
     if (this->hasEnded)
         return;
+    if (this->parked) {
+        this->returnToParkedAttempt();
+        return;
+    }
     this->closeAttempt(std::nullopt);
     const auto& entry = Foundation::resultCodeEntry(code);
     this->context.metrics.countRefusal(code);
@@ -725,6 +853,12 @@
     if (this->attempt)
         this->recordUnansweredAttempt("caller left");
     this->closeAttempt(std::nullopt);
+    this->dropParkedAttempt();
+    // Upstreams must not go on with a request whose caller has left.
+    for (const auto& [number, call] : this->watchedCalls) {
+        if (this->context.silenceWatch.take(call))
+            this->context.transfers.cancel(call);
+    }
     this->finish();
 }
 
@@ -732,6 +866,7 @@
 {
     if (this->hasEnded)
         return;
+    this->dropParkedAttempt();
     this->hasEnded = true;
     if (this->queuedPromptId != 0)
         this->context.dispatcher.withdraw(this->queuedPromptId);
@@ -744,32 +879,84 @@
     if (this->hasEnded || !this->route)
         return;
     if (now >= this->deadline) {
+        this->dropParkedAttempt();
         const bool isRunning = this->attempt && !this->attempt->isRejected();
         const bool mayHaveRun = isRunning || this->runs > 0;
         if (isRunning) {
             this->recordUnansweredAttempt("deadline");
+            if (this->isUpstreamSilent(now))
+                this->watchSilentAttempt(*this->attempt, this->currentAttemptNumber);
             ++this->runs;
             this->closeAttempt(Observation::Failed);
         }
         this->fail(mayHaveRun ? ResultCode::DeadlineExceeded : ResultCode::DeadlineUnreachable, defaultRetryAfter);
         return;
     }
+    this->checkParkedAttempt(now);
     if (!this->attempt || this->attempt->isPaused || !this->isUpstreamSilent(now))
         return;
     if (this->attempt->isRejected()) {
         this->onRejected();
         return;
     }
-    // The upstream may still continue the answer, so silence ends the attempt only if the request can fail over.
-    const FailoverAction action = Relay::chooseFailoverAction(this->progressAfter(RunOutcome::MayHaveRun));
-    if (action == FailoverAction::Resume && !this->context.dispatcher.hasRoom(this->makeNextPrompt()))
+    this->handleSilence(now);
+}
+
+void ProxiedRequest::handleSilence(TimePoint now)
+{
+    // Silence is too little to run a suspect elsewhere.
+    const bool isSuspect = this->context.suspects.status(this->fingerprint) != Quarantine::QuarantineStatus::Clear;
+    const FailoverAction action
+        = isSuspect ? FailoverAction::Fail : Relay::chooseFailoverAction(this->progressAfter(RunOutcome::MayHaveRun));
+    const Relay::SilentAttempt silent { now - this->attempt->lastDataAt, this->expectedSilence(*this->attempt),
+        this->inactivityTimeout(*this->attempt), this->isUpstreamDoubtful(*this->attempt), action };
+    const Relay::SilenceDecision decision = Relay::decideOnSilence(
+        silent, [this] { return this->context.dispatcher.hasRoom(this->makeNextPrompt()); },
+        [this, now] { return this->context.retryBudget.trySpend(this->criteria.service, now); });
+    if (decision.action == SilenceAction::Wait)
         return;
-    if (action == FailoverAction::Fail || !this->context.retryBudget.trySpend(this->criteria.service, now))
+    if (decision.action == SilenceAction::Keep) {
+        this->keepSilentAttempt(decision.reason);
         return;
-    this->recordUnansweredAttempt("silent");
-    this->closeAttempt(Observation::Broken);
+    }
+    const bool failsOver = decision.action == SilenceAction::FailOver;
+    this->recordUnansweredAttempt(failsOver ? "silent" : "upstream ended");
+    // Memory that is reserved elsewhere is not kept for an answer that may not come.
+    const bool canPark = failsOver && !this->parked && this->attempt->memoryReservation == 0;
+    if (canPark) {
+        this->parkSilentAttempt();
+    } else {
+        if (failsOver)
+            this->watchSilentAttempt(*this->attempt, this->currentAttemptNumber);
+        this->closeAttempt(Observation::Silent);
+    }
     ++this->runs;
-    this->performFailoverAction(action, ResultCode::UpstreamDown);
+    this->performFailoverAction(failsOver ? action : FailoverAction::Fail, ResultCode::UpstreamDown);
+}
+
+void ProxiedRequest::keepSilentAttempt(Relay::KeepReason reason)
+{
+    const Duration silence = this->context.clock.now() - this->attempt->lastDataAt;
+    if (!std::exchange(this->attempt->isKeptLogged, true))
+        logEvent(Event::AttemptSilent, this->request.id,
+            "upstream=" + this->attempt->assignment.upstreamGeneration + " silent_ms=" + millisecondsText(silence)
+                + " reason=" + Relay::keepReasonText(reason));
+    if (silence >= this->crashSilence(*this->attempt) && !std::exchange(this->attempt->isCrashRecorded, true))
+        this->recordCrash(Quarantine::CrashCertainty::Suspected, "silent");
+}
+
+void ProxiedRequest::watchSilentAttempt(Attempt& silent, std::uint64_t number)
+{
+    const std::optional<std::string> crash = this->crashName(silent);
+    const TimePoint countsFrom = silent.lastDataAt + this->crashSilence(silent);
+    const bool isDecided = !crash || this->context.clock.now() >= countsFrom;
+    if (silent.call == 0 || silent.isRejected() || isDecided)
+        return;
+    const Quarantine::CrashNotice notice { this->fingerprint, *crash, Quarantine::CrashCertainty::Possible };
+    silent.isWatched
+        = this->context.silenceWatch.add({ silent.call, silent.assignment.upstreamGeneration, notice, countsFrom });
+    if (silent.isWatched)
+        this->watchedCalls[number] = silent.call;
 }
 
 void ProxiedRequest::recordUnansweredAttempt(std::string_view ending)
@@ -781,38 +968,55 @@
     logEvent(Event::AttemptFinished, this->request.id,
         "upstream=" + this->attempt->assignment.upstreamGeneration + " ending=" + std::string(ending)
             + " silent_ms=" + millisecondsText(silence) + " fingerprint=" + this->fingerprint);
-    const bool looksLikeCrash = this->isUpstreamSilent(this->context.clock.now());
+    const bool looksLikeCrash = silence >= this->crashSilence(*this->attempt);
     this->recordCrash(
         looksLikeCrash ? Quarantine::CrashCertainty::Suspected : Quarantine::CrashCertainty::Possible, ending);
 }
 
+bool ProxiedRequest::isUpstreamDoubtful(const Attempt& silent) const
+{
+    const std::string& generation = silent.assignment.upstreamGeneration;
+    return this->context.storeSynchronizer.directory().hasEndedUnexpectedly(generation)
+        || this->context.health.hasRefusedSince(generation, silent.sentAt);
+}
+
 bool ProxiedRequest::isUpstreamSilent(TimePoint now) const
 {
     const Duration silence = now - this->attempt->lastDataAt;
-    if (silence >= this->inactivityTimeout())
-        return true;
-    // An upstream that is not listed any more need not be late by much to be taken as down.
-    return silence >= this->expectedSilence()
-        && this->context.storeSynchronizer.directory().hasEndedUnexpectedly(
-            this->attempt->assignment.upstreamGeneration);
+    // A doubtful upstream need not be late by much to be taken as down.
+    return silence >= this->inactivityTimeout(*this->attempt)
+        || (silence >= this->expectedSilence(*this->attempt) && this->isUpstreamDoubtful(*this->attempt));
 }
 
-Duration ProxiedRequest::expectedSilence() const
+Duration ProxiedRequest::crashSilence(const Attempt& silent) const
+{
+    if (this->isUpstreamDoubtful(silent))
+        return std::max(this->expectedSilence(silent), Relay::longestSoundSilence);
+    // Beside its silence, an upstream may take twice as long as expected.
+    Duration work = this->route->eventGapTarget;
+    if (this->route->kind != RequestKind::Stream)
+        work = this->route->firstEventTarget;
+    else if (silent.isPrefilling)
+        work = 2 * silent.assignment.expectedFirstEventDelay;
+    return std::max(this->inactivityTimeout(silent), work + Relay::longestSoundSilence);
+}
+
+Duration ProxiedRequest::expectedSilence(const Attempt& silent) const
 {
     if (this->route->kind != RequestKind::Stream)
         return std::max(minimumCallInactivityTimeout, this->route->firstEventTarget);
-    if (!this->attempt->isPrefilling)
+    if (!silent.isPrefilling)
         return this->route->eventGapTarget + eventGapAllowance;
-    return this->attempt->assignment.expectedFirstEventDelay + firstEventAllowance;
+    return silent.assignment.expectedFirstEventDelay + firstEventAllowance;
 }
 
-Duration ProxiedRequest::inactivityTimeout() const
+Duration ProxiedRequest::inactivityTimeout(const Attempt& silent) const
 {
     if (this->route->kind != RequestKind::Stream)
         return std::max(minimumCallInactivityTimeout, 2 * this->route->firstEventTarget);
-    if (!this->attempt->isPrefilling)
+    if (!silent.isPrefilling)
         return 2 * this->route->eventGapTarget + eventGapAllowance;
-    const Assignment& assignment = this->attempt->assignment;
+    const Assignment& assignment = silent.assignment;
     if (assignment.helpers.empty())
         return 2 * assignment.expectedFirstEventDelay + firstEventAllowance;
     // Failing over repeats the prefill on as many engines and would hardly meet the first-event target, so wait longer.
@@ -836,7 +1040,12 @@
 
 void ProxiedRequest::recordCrash(Quarantine::CrashCertainty certainty, std::string_view ending)
 {
-    const std::optional<std::string> crash = this->crashName();
+    this->recordCrash(*this->attempt, certainty, ending);
+}
+
+void ProxiedRequest::recordCrash(const Attempt& crashed, Quarantine::CrashCertainty certainty, std::string_view ending)
+{
+    const std::optional<std::string> crash = this->crashName(crashed);
     if (!crash)
         return;
     const Quarantine::CrashNotice notice { this->fingerprint, *crash, certainty };
@@ -860,7 +1069,7 @@
 
 void ProxiedRequest::withdrawAnnouncement()
 {
-    const std::optional<std::string> crash = this->crashName();
+    const std::optional<std::string> crash = this->crashName(*this->attempt);
     if (!crash)
         return;
     const Quarantine::CrashNotice notice { this->fingerprint, *crash, Quarantine::CrashCertainty::Possible };
@@ -868,9 +1077,9 @@
         this->context.onSuspectWithdrawn(notice);
 }
 
-std::optional<std::string> ProxiedRequest::crashName() const
+std::optional<std::string> ProxiedRequest::crashName(const Attempt& crashed) const
 {
-    return this->context.suspects.crashName(this->attempt->assignment.upstreamGeneration, this->attempt->sentAt);
+    return this->context.suspects.crashName(crashed.assignment.upstreamGeneration, crashed.sentAt);
 }
 
 void ProxiedRequest::exonerate()
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -7,17 +7,20 @@
 #include <foundation/clock.h>
 #include <foundation/metrics.h>
 #include <platform/httptransfers.h>
+#include <quarantine/silencewatch.h>
 #include <quarantine/suspectregistry.h>
 #include <relay/answermemory.h>
 #include <relay/eventsplitter.h>
 #include <relay/failoveraction.h>
 #include <relay/localretrybudget.h>
+#include <relay/silencedecision.h>
 #include <relay/upstreamhealth.h>
 #include <web/httpserver.h>
 
 #include "platform/messageheaders.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -38,6 +41,7 @@
     Relay::LocalRetryBudget& retryBudget;
     Relay::UpstreamHealth& health;
     Quarantine::SuspectRegistry& suspects;
+    Quarantine::SilenceWatch& silenceWatch;
     Relay::AnswerMemory& answerMemory;
     MemoryLeaseManager<PlatformAdapter::EngineOrders>& memoryLeases;
     /** Called after a change of the ledger or of the health of upstreams; added load is published at once. */
@@ -46,6 +50,10 @@
     std::function<void(const std::vector<Quarantine::CrashNotice>&)> onSuspects;
     /** Called with a possible crash that was announced and whose attempt has not run. */
     std::function<void(const Quarantine::CrashNotice&)> onSuspectWithdrawn;
+    /** Called with the generation of an upstream that was silent and has gone on. */
+    std::function<void(const std::string& generation)> onSilenceEnded;
+    /** Called when the connection of a watched attempt has broken. */
+    std::function<void(const Quarantine::WatchedAttempt&)> onSilentCrash;
     /** Called with the fingerprint of a request that has run to its end although crashes were recorded against it. */
     std::function<void(const std::string& fingerprint)> onExonerated;
     /** Called when an upstream is ejected and the other gateways should eject it too. */
@@ -81,11 +89,25 @@
     bool isPaused = false;
     /** The size of the body of a rejection, which is not forwarded. */
     std::size_t rejectionBytes = 0;
+    /** Whether the call stays open after the attempt, to see whether the silent upstream goes on. */
+    bool isWatched = false;
+    /** Whether it was logged why the attempt is kept although its upstream is silent. */
+    bool isKeptLogged = false;
+    /** Whether a crash was recorded although the attempt is kept. */
+    bool isCrashRecorded = false;
 
     /** Returns whether the upstream has stated that it does not run the request. */
     bool isRejected() const { return this->headers.isNotExecuted; }
 };
 
+/** An attempt whose upstream is silent and that may go on, while the request is tried elsewhere. */
+struct ParkedAttempt {
+    std::uint64_t number = 0;
+    Attempt attempt;
+    /** The state of its stream. */
+    Relay::EventSplitter events;
+};
+
 /**
  * Proxies one request: resolves its route and client account, dispatches it to an upstream and forwards the answer.
  * Fails over to another upstream if an attempt fails and the request may be sent again.
@@ -120,6 +142,20 @@
     void onAnswerHead(std::uint64_t attemptNumber, Platform::HttpAnswerHead head);
     void onAnswerData(std::uint64_t attemptNumber, std::string_view data);
     void onCallEnded(std::uint64_t attemptNumber, const Platform::HttpCallResult& result);
+    /** Handles data of an earlier attempt, or the orderly end of its answer. */
+    void onLateData(std::uint64_t attemptNumber);
+    /** Handles that the connection of an earlier attempt has broken. */
+    void onLateBreak(std::uint64_t attemptNumber);
+    /** Continues with the parked attempt if it is the given one. Returns whether it is the current attempt now. */
+    bool resumeParkedAttempt(std::uint64_t attemptNumber);
+    /** Continues with the parked attempt, whose upstream may still go on. Ends the other attempt. */
+    void returnToParkedAttempt();
+    /** Sets the current attempt aside, so that its answer can still be used if its upstream goes on soon. */
+    void parkSilentAttempt();
+    /** Gives the parked attempt up; its call is watched to see whether its upstream goes on. */
+    void dropParkedAttempt();
+    /** Records the end of the parked attempt's upstream if it has been silent for too long. */
+    void checkParkedAttempt(Foundation::TimePoint now);
     void onStreamData(std::string_view data);
     /** Stops reading a stream whose caller receives it more slowly than it arrives. */
     void pauseForSlowCaller();
@@ -142,6 +178,9 @@
      * @param observation how the upstream behaved; none if the attempt says nothing about its health.
      */
     void closeAttempt(std::optional<Relay::Observation> observation);
+    /** Releases what an attempt holds that is not the current one any more. */
+    void releaseAttempt(const Attempt& closed, std::optional<Relay::Observation> observation);
+    void recordObservation(const std::string& generation, Relay::Observation observation);
     /** Returns the progress that the request has if its attempt ends with this outcome. */
     Relay::RequestProgress progressAfter(Foundation::RunOutcome outcome) const;
     void onAttemptFailed(Foundation::RunOutcome outcome, Foundation::ResultCode code, bool hasReachedUpstream);
@@ -150,22 +189,32 @@
     void onCallerGone();
     void finish();
     Foundation::Duration timeLeft() const;
-    /** Returns whether the upstream of the current attempt has been silent for so long that the request fails over. */
+    /** Fails the request over, ends it, or keeps its attempt, whose upstream is silent. */
+    void handleSilence(Foundation::TimePoint now);
+    void keepSilentAttempt(Relay::KeepReason reason);
+    /** Keeps the call of an attempt open after it, to see whether its upstream goes on. */
+    void watchSilentAttempt(Attempt& silent, std::uint64_t number);
+    /** Returns whether the upstream of an attempt is no longer listed or refuses connections. */
+    bool isUpstreamDoubtful(const Attempt& silent) const;
+    /** Returns whether the upstream of the current attempt has been silent for longer than it is expected to be. */
     bool isUpstreamSilent(Foundation::TimePoint now) const;
+    /** Returns after which silence the upstream of an attempt counts as crashed. */
+    Foundation::Duration crashSilence(const Attempt& silent) const;
     /** Returns how long a listed upstream may stay silent. */
-    Foundation::Duration inactivityTimeout() const;
+    Foundation::Duration inactivityTimeout(const Attempt& silent) const;
     /** Returns how long an upstream stays silent at most if it is as fast as expected. */
-    Foundation::Duration expectedSilence() const;
+    Foundation::Duration expectedSilence(const Attempt& silent) const;
     /** Records an attempt that may have run and is given up without an answer. */
     void recordUnansweredAttempt(std::string_view ending);
     /** Records that the request was or may have been running when the upstream of the current attempt crashed. */
     void recordCrash(Quarantine::CrashCertainty certainty, std::string_view ending);
+    void recordCrash(const Attempt& crashed, Quarantine::CrashCertainty certainty, std::string_view ending);
     /** Tells the other gateways that a suspect is about to run, in case this process ends before the attempt does. */
     void announceSuspect();
     /** Takes the announcement back after the attempt turned out not to have run. */
     void withdrawAnnouncement();
     /** Returns the name under which a crash at the current attempt is recorded; none if it was caused before. */
-    std::optional<std::string> crashName() const;
+    std::optional<std::string> crashName(const Attempt& crashed) const;
     /** Removes what is recorded against the request after it has run to its end. */
     void exonerate();
     void recordHelperFailure(const std::string& address);
@@ -187,9 +236,13 @@
     /** 0 while the request is not queued. */
     Placement::QueuedPromptId queuedPromptId = 0;
     std::optional<Attempt> attempt;
+    std::optional<ParkedAttempt> parked;
     /** Identifies the current attempt, so that callbacks of earlier ones are ignored. */
     std::uint64_t currentAttemptNumber = 0;
+    std::uint64_t lastAttemptNumber = 0;
     Relay::EventSplitter events;
+    /** The calls of earlier attempts that are watched, by number of the attempt. */
+    std::map<std::uint64_t, Platform::CallId> watchedCalls;
     /** Attempts in which the request has run or may have run. */
     int runs = 0;
     /** All attempts that were sent, including rejected ones. */
--- a/src/apps/gateway/suspectstore.cpp
+++ b/src/apps/gateway/suspectstore.cpp
@@ -156,7 +156,8 @@
     }
     const CrashNotice notice { fingerprint, fields[crashField].get<std::string>(), certainty };
     // Whether the upstream of a suspected crash has ended is decided from the list of upstreams, as of now.
-    if (this->suspects.record(notice, certainty == CrashCertainty::Suspected ? Duration::zero() : age))
+    const bool isNew = this->suspects.record(notice, certainty == CrashCertainty::Suspected ? Duration::zero() : age);
+    if (isNew && certainty != CrashCertainty::Possible)
         logEvent(Event::SuspectAdded, "",
             "fingerprint=" + fingerprint + " crash=" + notice.crash
                 + " ending=stored crashes=" + std::to_string(this->suspects.crashCount(fingerprint)));
--- a/src/libs/foundation/event.h
+++ b/src/libs/foundation/event.h
@@ -49,6 +49,8 @@
     AttemptFinished = 412,
     AttemptCancelled = 413,
     AttemptInterrupted = 414,
+    AttemptSilent = 415,
+    SilenceEnded = 416,
     UpstreamGeneration = 500,
     UpstreamCold = 501,
     UpstreamDown = 502,
--- a/src/libs/platform/httptransfers.cpp
+++ b/src/libs/platform/httptransfers.cpp
@@ -299,6 +299,7 @@
     transfer.result.status = answerStatus(transfer.easy.get());
     transfer.result.contentType = answerContentType(transfer.easy.get());
     transfer.result.error = errorText(code, transfer);
+    transfer.result.isRefused = code == CURLE_COULDNT_CONNECT && !transfer.wasSent;
     asio::post(
         *transfer.context, [onEnd = std::move(transfer.handlers.onEnd), result = std::move(transfer.result)]() mutable {
             onEnd(std::move(result));
--- a/src/libs/platform/httptransfers.h
+++ b/src/libs/platform/httptransfers.h
@@ -88,6 +88,8 @@
     /** The body; empty if it was passed to StreamHandlers::onData. */
     std::string body;
     std::string error;
+    /** Whether no connection was established because the address refused it, and not for want of an answer. */
+    bool isRefused = false;
 
     /** Returns whether a complete answer with a status of 200 to 299 arrived. */
     bool isSuccess() const
--- a/src/libs/quarantine/suspectregistry.cpp
+++ b/src/libs/quarantine/suspectregistry.cpp
@@ -128,13 +128,17 @@
     return raised;
 }
 
-std::vector<CrashNotice> SuspectRegistry::confirmEnded(const std::function<bool(std::string_view)>& isListed)
+std::vector<CrashNotice> SuspectRegistry::confirmEnded(const std::function<bool(std::string_view)>& isListed,
+    const std::function<bool(std::string_view)>& isKnownToHaveEnded)
 {
     const TimePoint now = this->clock.now();
     std::vector<CrashNotice> confirmed;
     const auto hasEnded = [&](const auto& entry) {
-        return entry.second.certainty != CrashCertainty::Confirmed && this->isValid(entry.second)
-            && now - entry.second.recordedAt >= listingDelay && !isListed(generationOf(entry.first));
+        const std::string_view generation = generationOf(entry.first);
+        if (entry.second.certainty == CrashCertainty::Confirmed || !this->isValid(entry.second))
+            return false;
+        const bool isListingDue = now - entry.second.recordedAt >= listingDelay;
+        return isKnownToHaveEnded(generation) || (isListingDue && !isListed(generation));
     };
     for (auto& [fingerprint, suspect] : this->suspects) {
         auto next = std::ranges::find_if(suspect.crashes, hasEnded);
@@ -158,6 +162,21 @@
         this->suspects.erase(found);
 }
 
+std::vector<CrashNotice> SuspectRegistry::withdrawGeneration(std::string_view generation)
+{
+    std::vector<CrashNotice> withdrawn;
+    for (auto& [fingerprint, suspect] : this->suspects) {
+        for (auto next = suspect.crashes.begin(); next != suspect.crashes.end();) {
+            const auto current = next++;
+            if (current->second.certainty != CrashCertainty::Possible || generationOf(current->first) != generation)
+                continue;
+            withdrawn.push_back({ fingerprint, current->first, CrashCertainty::Possible });
+            suspect.crashes.erase(current);
+        }
+    }
+    return withdrawn;
+}
+
 bool SuspectRegistry::withdraw(const CrashNotice& notice)
 {
     const auto found = this->suspects.find(notice.fingerprint);
--- a/src/libs/quarantine/suspectregistry.h
+++ b/src/libs/quarantine/suspectregistry.h
@@ -67,9 +67,18 @@
     /**
      * Confirms the crashes whose generations have ended.
      * @param isListed returns whether a generation is still listed.
+     * @param hasEnded returns whether a generation was listed and has ended.
      * @return the notices that were confirmed.
      */
-    std::vector<CrashNotice> confirmEnded(const std::function<bool(std::string_view generation)>& isListed);
+    std::vector<CrashNotice> confirmEnded(
+        const std::function<bool(std::string_view generation)>& isListed,
+        const std::function<bool(std::string_view generation)>& hasEnded = [](std::string_view) { return false; });
+
+    /**
+     * Removes the possible crashes of a generation that has shown to be alive.
+     * @return the notices that were removed.
+     */
+    std::vector<CrashNotice> withdrawGeneration(std::string_view generation);
 
     /** Removes a possible crash after its attempt turned out not to have run. @return whether there was one. */
     bool withdraw(const CrashNotice& notice);
--- /dev/null
+++ b/src/libs/relay/silencedecision.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "failoveraction.h"
+
+#include <foundation/clock.h>
+
+#include <algorithm>
+#include <concepts>
+#include <cstdint>
+
+namespace Relay {
+
+/**
+ * How long a sound upstream may send nothing beyond what its work takes. Upstreams may fall silent for a second or so
+ * and go on; this is twice that.
+ */
+constexpr Foundation::Duration longestSoundSilence = std::chrono::seconds(2);
+
+/** What to do about an attempt whose upstream sends nothing. */
+enum class SilenceAction : std::uint8_t {
+    /** The upstream is not late yet. */
+    Wait,
+    /** The upstream is late but may go on, and the request cannot be sent elsewhere now. */
+    Keep,
+    /** The request is continued at another upstream. */
+    FailOver,
+    /** The upstream has most likely ended, and the request cannot be sent elsewhere. */
+    End,
+};
+
+/** Why a silent attempt is not failed over. */
+enum class KeepReason : std::uint8_t {
+    None,
+    MustNotRunAgain,
+    NoRoomElsewhere,
+    RetryBudgetSpent,
+};
+
+/** An attempt whose upstream sends nothing, and what is known of both. */
+struct SilentAttempt {
+    /** The time since the last data of the answer, or since the request was sent. */
+    Foundation::Duration silence {};
+    /** The silence that is expected of an upstream that is as fast as usual. */
+    Foundation::Duration expectedSilence {};
+    /** The silence after which a listed upstream counts as late. */
+    Foundation::Duration inactivityTimeout {};
+    /** Whether the upstream is no longer listed, or its address refuses connections. */
+    bool isUpstreamDoubtful = false;
+    /** How the request goes on if the attempt ends. */
+    FailoverAction failover = FailoverAction::Fail;
+};
+
+struct SilenceDecision {
+    SilenceAction action = SilenceAction::Wait;
+    KeepReason reason = KeepReason::None;
+
+    bool operator==(const SilenceDecision&) const = default;
+};
+
+/**
+ * Decides what to do about a silent attempt. Silence alone never ends an attempt that cannot go on elsewhere.
+ * @param hasRoom returns whether an upstream could resume the stream in time.
+ * @param spendRetry takes a unit of the retry budget and returns whether there was one.
+ */
+template <std::predicate HasRoom, std::predicate SpendRetry>
+SilenceDecision decideOnSilence(const SilentAttempt& attempt, HasRoom hasRoom, SpendRetry spendRetry)
+{
+    const Foundation::Duration limit = attempt.isUpstreamDoubtful ? attempt.expectedSilence : attempt.inactivityTimeout;
+    if (attempt.silence < limit)
+        return { SilenceAction::Wait, KeepReason::None };
+    const bool hasEnded
+        = attempt.isUpstreamDoubtful && attempt.silence >= std::max(attempt.expectedSilence, longestSoundSilence);
+    KeepReason reason = KeepReason::None;
+    if (attempt.failover == FailoverAction::Fail)
+        reason = KeepReason::MustNotRunAgain;
+    else if (attempt.failover == FailoverAction::Resume && !hasEnded && !hasRoom())
+        reason = KeepReason::NoRoomElsewhere;
+    else if (!spendRetry())
+        reason = KeepReason::RetryBudgetSpent;
+    if (reason == KeepReason::None)
+        return { SilenceAction::FailOver, KeepReason::None };
+    return { hasEnded ? SilenceAction::End : SilenceAction::Keep, reason };
+}
+
+/** Returns a short text for logs. */
+const char* keepReasonText(KeepReason reason);
+
+} // namespace Relay
--- a/src/libs/relay/upstreamhealth.cpp
+++ b/src/libs/relay/upstreamhealth.cpp
@@ -31,14 +31,16 @@
     record.failureRate += newestWeight * ((isFailure ? 1.0 : 0.0) - record.failureRate);
     if (!isFailure) {
         record.consecutiveFailures = 0;
+        record.refusedAt.reset();
         return false;
     }
+    if (observation == Observation::Refused)
+        record.refusedAt = now;
     // Attempts that are in flight at the same time fail together, so their failures count once.
     if (now < record.ejectedUntil)
         return false;
     ++record.consecutiveFailures;
-    const bool isDown = observation == Observation::Unreachable || observation == Observation::Broken;
-    if (!isDown && record.failureRate <= maximumFailureRate)
+    if (observation == Observation::Failed && record.failureRate <= maximumFailureRate)
         return false;
     record.ejectedUntil
         = now + Foundation::exponentialBackoff(minimumEjectionTime, maximumEjectionTime, record.consecutiveFailures);
@@ -96,6 +98,25 @@
     return found == this->records.end() ? 1 : found->second.slowdownFactor;
 }
 
+void UpstreamHealth::recordRecovery(std::string_view upstreamGeneration, Foundation::TimePoint now)
+{
+    Record& record = this->records[std::string(upstreamGeneration)];
+    record.consecutiveFailures = 0;
+    record.ejectedUntil = std::min(record.ejectedUntil, now);
+    record.refusedAt.reset();
+}
+
+void UpstreamHealth::recordPeerRefusal(std::string_view upstreamGeneration, Foundation::TimePoint now)
+{
+    this->records[std::string(upstreamGeneration)].refusedAt = now;
+}
+
+bool UpstreamHealth::hasRefusedSince(std::string_view upstreamGeneration, Foundation::TimePoint time) const
+{
+    const auto found = this->records.find(upstreamGeneration);
+    return found != this->records.end() && found->second.refusedAt && *found->second.refusedAt >= time;
+}
+
 void UpstreamHealth::remove(std::string_view upstreamGeneration)
 {
     const auto found = this->records.find(upstreamGeneration);
--- a/src/libs/relay/upstreamhealth.h
+++ b/src/libs/relay/upstreamhealth.h
@@ -3,6 +3,7 @@
 #include <foundation/clock.h>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -13,10 +14,14 @@
     Answered,
     /** The upstream answered with an error. */
     Failed,
-    /** No connection could be established. */
+    /** No connection could be established in time. */
     Unreachable,
-    /** The connection broke, or the upstream sent nothing for too long. */
+    /** The connection broke. */
     Broken,
+    /** The upstream sent nothing for too long; it may still go on. */
+    Silent,
+    /** The address refuses connections, or another upstream answers there. */
+    Refused,
 };
 
 /**
@@ -57,6 +62,15 @@
     /** @return the ratio of measured to expected delay of the upstream, smoothed; at least 1. */
     double slowdownFactor(std::string_view upstreamGeneration) const;
 
+    /** Records that an upstream that was silent has gone on, which ends its ejection. */
+    void recordRecovery(std::string_view upstreamGeneration, Foundation::TimePoint now);
+
+    /** Records that the address of an upstream refused a connection at another process. */
+    void recordPeerRefusal(std::string_view upstreamGeneration, Foundation::TimePoint now);
+
+    /** @return whether the address of the upstream has refused a connection, here or elsewhere, since a time. */
+    bool hasRefusedSince(std::string_view upstreamGeneration, Foundation::TimePoint time) const;
+
     /** Removes the record of an upstream generation that has ended. */
     void remove(std::string_view upstreamGeneration);
 
@@ -68,6 +82,8 @@
         double slowdownFactor = 1;
         Foundation::TimePoint ejectedUntil {};
         Foundation::TimePoint helpRefusedUntil {};
+        /** When its address last refused a connection; none since it last answered. */
+        std::optional<Foundation::TimePoint> refusedAt;
     };
 
     std::map<std::string, Record, std::less<>> records;
--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -433,6 +433,7 @@
     visitor("run", notice.generation);
     visitor("pause", notice.ejectionMs);
     visitor("help", notice.isHelpRefusal);
+    visitor("refused", notice.isRefused);
 }
 
 template <typename V> void visit(V&& visitor, MessageOf<LoadUpdate> auto& update)
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -88,6 +88,8 @@
     std::int64_t ejectionMs = 0;
     /** Whether the upstream failed only as a prefill helper and can still be used otherwise. */
     bool isHelpRefusal = false;
+    /** Whether its address refuses connections or another upstream answers there, so that it has probably ended. */
+    bool isRefused = false;
 };
 
 /** Offers a request to an agent. A body that fits into one chunk is included; a longer one follows after Granted. */
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -269,6 +269,34 @@
     UNSIGNED_LONGS_EQUAL(1, this->startedRequestCount());
 }
 
+// Both upstreams are silent for longer than a request waits before it fails over; the first goes on before the second.
+TEST(GatewayTest, aStreamAtASilentUpstreamThatGoesOnIsNotLostByItsFailover)
+{
+    this->startGateway("llm");
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::AnswerAfterSilence;
+    const Answer answer = this->call("/stream/x", "POST");
+    LONGS_EQUAL(200, answer.result.status);
+    CHECK_TRUE(answer.result.outcome == Platform::CallOutcome::Complete);
+    STRCMP_CONTAINS("id: 5\n", answer.body.c_str());
+    UNSIGNED_LONGS_EQUAL(2, this->startedRequestCount());
+}
+
+TEST(GatewayTest, aRequestAtSoundUpstreamsThatFallSilentIsNotQuarantined)
+{
+    this->startGateway("llm");
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::AnswerAfterSilence;
+    std::vector<std::shared_ptr<Answer>> answers;
+    for (int i = 0; i < 4; ++i) {
+        answers.push_back(std::make_shared<Answer>());
+        this->send("/stream/x", answers.back(), "POST");
+    }
+    CHECK_TRUE(
+        this->runUntil([&] { return std::ranges::all_of(answers, [](const auto& a) { return a->isFinished; }); }));
+    for (const auto& answer : answers)
+        LONGS_EQUAL(200, answer->result.status);
+    CHECK_TRUE(this->core.renderMetrics().find("bluebell_suspects_total") == std::string::npos);
+}
+
 TEST(GatewayTest, aStreamThatCannotBeResumedEndsAsBroken)
 {
     this->startGateway("llm");
--- /dev/null
+++ b/tests/auto/relay/tst_silencedecision.cpp
@@ -0,0 +1,70 @@
+#include <relay/silencedecision.h>
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+using namespace Relay;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto yes = [] { return true; };
+constexpr auto no = [] { return false; };
+
+SilentAttempt makeAttempt(Foundation::Duration silence, bool isUpstreamDoubtful, FailoverAction failover)
+{
+    return { silence, 500ms, 1'000ms, isUpstreamDoubtful, failover };
+}
+
+} // namespace
+
+TEST_GROUP(SilenceDecisionTest) {};
+
+// Sound upstreams may fall silent for a second or so and go on.
+TEST(SilenceDecisionTest, silenceAloneEndsNoAttemptThatCannotGoOnElsewhere)
+{
+    CHECK_TRUE(rc::check([] {
+        const auto silence = std::chrono::milliseconds(*rc::gen::inRange(0, 60'000));
+        const auto failover = *rc::gen::element(FailoverAction::Fail, FailoverAction::Resume, FailoverAction::Retry);
+        const bool hasRoom = *rc::gen::arbitrary<bool>();
+        const bool hasBudget = *rc::gen::arbitrary<bool>();
+        const auto decision = decideOnSilence(
+            makeAttempt(silence, false, failover), [=] { return hasRoom; }, [=] { return hasBudget; });
+        RC_ASSERT(decision.action != SilenceAction::End);
+    }));
+}
+
+TEST(SilenceDecisionTest, aSilentAttemptThatMustNotRunAgainIsKept)
+{
+    CHECK_TRUE(decideOnSilence(makeAttempt(5s, false, FailoverAction::Fail), yes, yes)
+        == (SilenceDecision { SilenceAction::Keep, KeepReason::MustNotRunAgain }));
+}
+
+TEST(SilenceDecisionTest, aSilentStreamWithoutRoomElsewhereIsKept)
+{
+    CHECK_TRUE(decideOnSilence(makeAttempt(5s, false, FailoverAction::Resume), no, yes)
+        == (SilenceDecision { SilenceAction::Keep, KeepReason::NoRoomElsewhere }));
+}
+
+TEST(SilenceDecisionTest, aSilentAttemptWithoutRetryBudgetIsKept)
+{
+    CHECK_TRUE(decideOnSilence(makeAttempt(5s, false, FailoverAction::Retry), yes, no)
+        == (SilenceDecision { SilenceAction::Keep, KeepReason::RetryBudgetSpent }));
+}
+
+TEST(SilenceDecisionTest, anAttemptWhoseUpstreamHasEndedIsNotKeptUntilItsCallerLeaves)
+{
+    for (const auto failover : { FailoverAction::Fail, FailoverAction::Retry, FailoverAction::Resume })
+        CHECK_TRUE(decideOnSilence(makeAttempt(2s, true, failover), no, no).action == SilenceAction::End);
+}
+
+// An upstream may leave the list and still finish its work.
+TEST(SilenceDecisionTest, anUnlistedUpstreamMayStillGoOnAfterAShortSilence)
+{
+    CHECK_TRUE(
+        decideOnSilence(makeAttempt(1'900ms, true, FailoverAction::Fail), yes, yes).action == SilenceAction::Keep);
+    CHECK_TRUE(
+        decideOnSilence(makeAttempt(600ms, true, FailoverAction::Retry), yes, yes).action == SilenceAction::FailOver);
+    CHECK_TRUE(
+        decideOnSilence(makeAttempt(600ms, false, FailoverAction::Retry), yes, yes).action == SilenceAction::Wait);
+}
--- a/tests/standins/standinupstream.cpp
+++ b/tests/standins/standinupstream.cpp
@@ -13,6 +13,7 @@
     , port(port)
     , server(context, { "127.0.0.1", port, 1 << 20 },
           [this](const std::shared_ptr<Web::HttpExchange>& exchange) { this->handle(exchange); })
+    , context(context)
     , pauseTimer(context)
 {
 }
@@ -71,6 +72,9 @@
     case UpstreamBehaviour::PauseMidStream:
         this->answerStreamWithPause(exchange);
         break;
+    case UpstreamBehaviour::AnswerAfterSilence:
+        this->answerStreamAfterSilence(exchange, last.empty() ? 1 : std::stoi(std::string(last)) + 1);
+        break;
     case UpstreamBehaviour::NeverAnswer:
         exchange->setDisconnectHandler([this] { ++this->abandonedCalls; });
         this->unansweredExchanges.push_back(exchange);
@@ -104,6 +108,15 @@
     exchange.finish();
 }
 
+void StandinUpstream::answerStreamAfterSilence(const std::shared_ptr<Web::HttpExchange>& exchange, int firstEvent)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(this->context, standinSilence);
+    timer->async_wait([this, timer, exchange, firstEvent](const asio::error_code& error) {
+        if (!error)
+            this->answerStream(*exchange, firstEvent);
+    });
+}
+
 void StandinUpstream::answerStreamWithPause(const std::shared_ptr<Web::HttpExchange>& exchange)
 {
     exchange->beginStream(makeSignedReply(exchange->request(), 200, ""));
--- a/tests/standins/standinupstream.h
+++ b/tests/standins/standinupstream.h
@@ -4,6 +4,7 @@
 
 #include <asio/steady_timer.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -33,8 +34,13 @@
     BlameHelper,
     /** Answers with several MB, as a call or as a stream of many events. */
     AnswerLong,
+    /** Falls silent before it answers a stream, and goes on after standinSilence. */
+    AnswerAfterSilence,
 };
 
+/** How long a sound upstream falls silent. */
+constexpr std::chrono::milliseconds standinSilence { 1'300 };
+
 /** The size of the long answer of a call, and about that of a stream. */
 constexpr std::size_t longAnswerBytes = 8'000'000;
 
@@ -64,10 +70,12 @@
     void handle(const std::shared_ptr<Web::HttpExchange>& exchange);
     void answerStream(Web::HttpExchange& exchange, int firstEvent);
     void answerStreamWithPause(const std::shared_ptr<Web::HttpExchange>& exchange);
+    void answerStreamAfterSilence(const std::shared_ptr<Web::HttpExchange>& exchange, int firstEvent);
 
     std::string id;
     std::uint16_t port;
     Web::HttpServer server;
+    asio::io_context& context;
     asio::steady_timer pauseTimer;
     /** Kept open, since these requests are never answered. */
     std::vector<std::shared_ptr<Web::HttpExchange>> unansweredExchanges;
