--- a/tests/system/gatewayfleet.cpp
+++ b/tests/system/gatewayfleet.cpp
@@ -269,7 +269,7 @@
 void GatewayFleet::crashUpstream(std::size_t index)
 {
     this->upstreams[index].process->kill();
-    this->onCrash({ true, this->upstreams[index].id, {}, std::chrono::steady_clock::now() });
+    this->onCrash({ "crash", true, this->upstreams[index].id, {}, std::chrono::steady_clock::now() });
 }
 
 void GatewayFleet::pauseUpstream(std::size_t index) { this->upstreams[index].process->signal(SIGSTOP); }
--- a/tests/system/gatewayfleet.h
+++ b/tests/system/gatewayfleet.h
@@ -112,7 +112,6 @@
     /** Expires the history of all upstreams' entries, so that they can only be read as a listing. */
     void expireUpstreamHistory();
 
-    std::size_t upstreamCount() const { return this->upstreams.size(); }
     bool isUpstreamRunning(std::size_t index) const { return !this->upstreams[index].restartAt; }
 
     /** Kills an upstream without a request that causes it; it comes back as after other crashes. */
