Keep programs that run at the same time from choosing the same free ports

Cause: findFreePort() closes a port that it found, which is bound only when the process starts, so two programs could find the same one meanwhile.

Each found port is held by a datagram socket on the same number, which other programs meet.

--- a/src/tools/fleet/fleet.cpp
+++ b/src/tools/fleet/fleet.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <deque>
 #include <fstream>
 #include <functional>
 #include <mutex>
@@ -14,6 +15,7 @@
 #include <thread>
 
 #include <asio.hpp>
+#include <fcntl.h>
 #include <unistd.h>
 
 namespace Fleet {
@@ -28,6 +30,36 @@
 
 std::string url(int port) { return "http://" + loopback(port); }
 
+/**
+ * Keeps other processes that look for free ports away from the ports that this one found and has not bound yet, by
+ * datagram sockets on the same numbers.
+ */
+class PortReservations {
+public:
+    /** @return whether no other process has reserved the port. */
+    bool add(int port)
+    {
+        asio::ip::udp::socket socket(this->context);
+        asio::error_code error;
+        socket.open(asio::ip::udp::v4(), error);
+        ::fcntl(socket.native_handle(), F_SETFD, FD_CLOEXEC);
+        socket.bind({ asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port) }, error);
+        if (error)
+            return false;
+        this->sockets.push_back(std::move(socket));
+        if (this->sockets.size() > maximumReservations)
+            this->sockets.pop_front();
+        return true;
+    }
+
+private:
+    // More than the ports of the fleets that run at a time in one process.
+    static constexpr std::size_t maximumReservations = 800;
+
+    asio::io_context context;
+    std::deque<asio::ip::udp::socket> sockets;
+};
+
 bool startsWith(const std::string& name, const std::string& prefix) { return name.rfind(prefix, 0) == 0; }
 
 } // namespace
@@ -37,6 +69,7 @@
     // The ports are below the ephemeral range, so that no outgoing connection occupies a port before its process binds
     // it. The start depends on the process id, so that fleets of concurrent processes do not choose the same ports.
     static int next = 20'000 + static_cast<int>(::getpid() * 997L % 12'000);
+    static PortReservations reservations;
     static std::mutex mutex;
     const std::lock_guard lock(mutex);
     asio::io_context context;
@@ -46,7 +79,7 @@
         asio::error_code error;
         acceptor.open(asio::ip::tcp::v4(), error);
         acceptor.bind({ asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(next) }, error);
-        if (!error)
+        if (!error && reservations.add(next))
             return next;
     }
 }
