Decode which parts a prompt shares with other requests

The crash quarantine needs to know the parts that a request has in common with others. The adapter decodes the list once per request into hashes of the ids; the last part belongs to the request or to its session and is left out. Ids are hexadecimal, so their case is ignored.

A list has at most 32 parts; longer ones, entries without an id or a colon and any other bytes are tolerated.

--- a/tests/auto/platformadapter/tst_messageheaders.cpp
+++ b/tests/auto/platformadapter/tst_messageheaders.cpp
@@ -2,7 +2,11 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <foundation/identifier.h>
+#include <rapidcheck.h>
+
 #include <algorithm>
+#include <set>
 
 using namespace PlatformAdapter;
 using namespace std::chrono_literals;
@@ -36,6 +40,13 @@
     return { status, "", std::move(headers) };
 }
 
+std::vector<std::uint64_t> decodeParts(std::string_view list)
+{
+    Web::HttpRequest request;
+    request.headers = { { "X-Prefix-Hash", std::string(list) } };
+    return decodeCallerRequest(request).sharedPromptParts;
+}
+
 } // namespace
 
 TEST_GROUP(MessageHeadersTest) {};
@@ -108,3 +119,38 @@
     STRCMP_EQUAL("0.250", found->value.c_str());
     UNSIGNED_LONGS_EQUAL(0, encodeLocalReply(502, "", {}, "x").headers.size());
 }
+
+TEST(MessageHeadersTest, theLastPartOfAPromptIsNotShared)
+{
+    const std::vector<std::uint64_t> expected { Foundation::hash64("5c1e07a2"), Foundation::hash64("91bd3f06") };
+    CHECK_TRUE(decodeParts("5c1e07a2:800,91bd3f06:410,e4402b7d:250") == expected);
+    CHECK_TRUE(decodeParts("5C1E07A2:1, 91bd3f06 :2,5c1e07a2:3,e4402b7d") == expected);
+    CHECK_TRUE(decodeParts("e4402b7d:250").empty());
+    CHECK_TRUE(decodeParts("").empty());
+}
+
+TEST(MessageHeadersTest, malformedListsOfPartsAreTolerated)
+{
+    const std::vector<std::uint64_t> onlyA { Foundation::hash64("a") };
+    CHECK_TRUE(decodeParts("a,b") == onlyA);
+    CHECK_TRUE(decodeParts(",:5,,a:,b:,, ,") == onlyA);
+    CHECK_TRUE(decodeParts("a:99999999999999999999999999,b:-1") == onlyA);
+    CHECK_TRUE(decodeParts(":1,:2,:3").empty());
+    CHECK_TRUE(decodeParts(",,,").empty());
+    std::string longList;
+    for (int i = 0; i < 100'000; ++i)
+        longList += std::to_string(i) + ":1,";
+    CHECK_TRUE(decodeParts(longList).size() <= 32);
+}
+
+TEST(MessageHeadersTest, anyBytesInAListOfPartsDecodeToAFewDistinctParts)
+{
+    CHECK_TRUE(rc::check([] {
+        const auto bytes = *rc::gen::oneOf(rc::gen::container<std::string>(rc::gen::arbitrary<char>()),
+            rc::gen::container<std::string>(rc::gen::element('a', 'B', '1', ':', ',', ',', ' ', '\0')));
+        const std::vector<std::uint64_t> parts = decodeParts(bytes);
+        RC_ASSERT(parts.size() <= 32u);
+        RC_ASSERT(std::set<std::uint64_t>(parts.begin(), parts.end()).size() == parts.size());
+        RC_ASSERT(parts.size() <= static_cast<std::size_t>(std::ranges::count(bytes, ',')));
+    }));
+}
