Keep the ids of hostile lists apart from crashing parts

In bluebell-prove-parts a list of 10,000 random ids below 0x10000 held the id "dead" in one of seven requests. The stand-in took it for a crashing part, so a hostile request crashed upstreams, which was counted as a crash of the part under test. The ids are below 0x8000 now; the checks and bounds stay.

--- a/tests/system/partprompts.cpp
+++ b/tests/system/partprompts.cpp
@@ -20,6 +20,8 @@
 constexpr double companionFraction = 0.005;
 constexpr const char* companion = "c0bb1e";
 constexpr int hostilePartCount = 10'000;
+// Below the ids that begin with the mark of crashing parts.
+constexpr std::uint64_t hostileIdLimit = 0x8000;
 constexpr int hostileHeaderBytes = 60'000;
 constexpr int newIdCount = 500;
 
@@ -92,7 +94,7 @@
     switch (this->hostileCount++ % 6) {
     case 0:
         for (int i = 0; i < hostilePartCount; ++i)
-            parts += toHexadecimal(this->random() % 0x10000) + ":1,";
+            parts += toHexadecimal(this->random() % hostileIdLimit) + ":1,";
         return parts + this->makeOwnPart() + ":1";
     case 1:
         return std::string(hostileHeaderBytes, 'a') + ":100," + this->makeOwnPart() + ":900";
