Refuse requests with a prompt part that crashes upstreams, at all gateways

Cause: the quarantine identifies a request by its target, account and body. No two of these requests are alike, so each one is new to it. Class: a safety decision keyed by an identity that the fault does not share.

A gateway now records the parts of every attempt that was or may have been lost at a crash, and the parts of every request that ran to its end. It asks the registry when a request arrives and before each send; a refused request is answered like one that is quarantined by its fingerprint. Older gateways ignore the two new lists of the notice.

Events 613 and 614 say which part is refused and released, 615 which candidates there are with their crashes, moments and the verdict, 611 which request was refused for which part.

--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -75,6 +75,7 @@
     , ledger(this->clock)
     , retryBudget(makeRetryLimit(settings.node))
     , suspects(this->clock, crashLimit)
+    , promptParts(this->clock)
     , answerMemory(settings.node.memoryBytes / answerMemoryDivisor)
     , peers(context, this->clock, { settings.node.name, settings.node.failureDomain, settings.node.processorCores },
           settings.node.peerEndpoint.text(),
@@ -96,13 +97,16 @@
                       "upstream=" + notice.generation
                           + " observation=told pause_ms=" + std::to_string(notice.ejectionMs)
                           + " help_only=" + std::to_string(int(notice.isHelpRefusal)));
-                  if (notice.isRefused) {
-                      this->health.recordPeerRefusal(notice.generation, this->clock.now());
-                      this->suspects.suspectGeneration(notice.generation);
-                  }
+                  if (!notice.isRefused)
+                      return;
+                  this->health.recordPeerRefusal(notice.generation, this->clock.now());
+                  this->suspects.suspectGeneration(notice.generation);
+                  this->partCrashes.onUpstreamReported(notice.generation);
               },
               [this] { return this->ledger.ownUsage(); }, [this] { return this->makeSuspectSnapshot(); },
               [this] { this->applyLimits(); } })
+    , partCrashes(
+          this->clock, this->promptParts, [this](const Wire::SuspectNotice& notice) { this->peers.broadcast(notice); })
     , storeSynchronizer(this->transfers, this->clock, this->bootClock, this->metrics, this->settings,
           { [this] { this->onStoreCacheChanged(); },
               [this](const std::string& upstreamGeneration) {
@@ -119,8 +123,9 @@
     , dispatcher(this->clock, this->storeSynchronizer.directory(), this->health, this->ledger,
           settings.node.regionByFailureDomain, settings.node.failureDomain, settings.node.name)
     , proxyContext { this->clock, this->metrics, this->transfers, this->storeSynchronizer, this->dispatcher,
-        this->ledger, this->retryBudget, this->health, this->suspects, this->silenceWatch, this->answerMemory,
-        this->memoryLeases, [this](bool isAdded) { this->onLoadChanged(isAdded); },
+        this->ledger, this->retryBudget, this->health, this->suspects, this->silenceWatch, this->promptParts,
+        this->partCrashes, this->answerMemory, this->memoryLeases,
+        [this](bool isAdded) { this->onLoadChanged(isAdded); },
         [this](const std::vector<CrashNotice>& notices) { this->onOwnSuspects(notices); },
         [this](const CrashNotice& notice) {
             this->peers.broadcast(Wire::SuspectNotice { {}, {}, {}, { notice } });
@@ -192,6 +197,7 @@
         this->suspects.exonerate(fingerprint);
         this->suspectStore.removeObserved(fingerprint);
     }
+    this->partCrashes.onNotice(notice);
 }
 
 Wire::SuspectNotice GatewayCore::makeSuspectSnapshot() const
@@ -199,6 +205,7 @@
     Wire::SuspectNotice snapshot = makeSuspectNotice(this->suspects.notices());
     // A gateway that has just started has seen no request complete.
     snapshot.cleared = this->suspects.recentlyCompleted();
+    this->partCrashes.addKnown(snapshot);
     return snapshot;
 }
 
@@ -259,6 +266,7 @@
         this->onOwnSuspects({ notice });
     }
     this->onOwnSuspects(this->suspects.suspectGeneration(attempt.generation));
+    this->partCrashes.onUpstreamDown(attempt.generation);
 }
 
 void GatewayCore::checkWatchedAttempts()
@@ -277,6 +285,8 @@
     const std::vector<CrashNotice> confirmed = this->suspects.confirmEnded(
         [&directory](std::string_view generation) { return directory.isGenerationListed(generation); },
         [&directory](std::string_view generation) { return directory.hasEndedUnexpectedly(generation); });
+    this->partCrashes.confirmEnded(
+        [&directory](std::string_view generation) { return directory.hasEndedUnexpectedly(generation); });
     if (!confirmed.empty())
         this->peers.broadcast(makeSuspectNotice(confirmed));
     for (const CrashNotice& notice : confirmed) {
@@ -350,6 +360,7 @@
     this->checkWatchedAttempts();
     this->confirmCrashes();
     this->flushPossibleCrashes();
+    this->partCrashes.tick();
     this->suspectStore.tick();
     this->peers.tick();
     this->dispatcher.setPeerLoadAvailable(this->peers.isMajorityConnected());
--- a/src/apps/gateway/gatewaycore.h
+++ b/src/apps/gateway/gatewaycore.h
@@ -86,8 +86,10 @@
     Relay::LocalRetryBudget retryBudget;
     Quarantine::SuspectRegistry suspects;
     Quarantine::SilenceWatch silenceWatch;
+    Quarantine::PromptPartRegistry promptParts;
     Relay::AnswerMemory answerMemory;
     PeerConnections peers;
+    PartCrashExchange partCrashes;
     StoreSynchronizer storeSynchronizer;
     SuspectStore suspectStore;
     Dispatcher dispatcher;
--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -185,7 +185,7 @@
 bool ProxiedRequest::refuseIfQuarantined()
 {
     if (this->context.suspects.status(this->fingerprint) != Quarantine::QuarantineStatus::Quarantined)
-        return false;
+        return this->refuseIfPartQuarantined();
     logEvent(Event::RequestQuarantined, this->request.id,
         "fingerprint=" + this->fingerprint
             + " crashes=" + std::to_string(this->context.suspects.crashCount(this->fingerprint))
@@ -194,6 +194,18 @@
     return true;
 }
 
+bool ProxiedRequest::refuseIfPartQuarantined()
+{
+    const auto* const cause = this->context.promptParts.findCause(this->request.sharedPromptParts);
+    if (!cause)
+        return false;
+    logEvent(Event::RequestQuarantined, this->request.id,
+        "part=" + promptPartsText(cause->parts) + " crashes=" + std::to_string(cause->crashCount)
+            + " sends=" + std::to_string(this->sends));
+    this->fail(ResultCode::CrashSuspected, quarantineRetryAfter);
+    return true;
+}
+
 void ProxiedRequest::dispatch()
 {
     if (this->context.dispatcher.isEngineService(this->criteria.service)) {
@@ -743,8 +755,10 @@
     const TimePoint now = this->context.clock.now();
     const bool isRefused = observation == Observation::Refused;
     // Attempts that ended before this one for other reasons may have met the same crash.
-    if (isRefused || observation == Observation::Broken)
+    if (isRefused || observation == Observation::Broken) {
         this->context.onSuspects(this->context.suspects.suspectGeneration(generation));
+        this->context.partCrashes.onUpstreamDown(generation);
+    }
     if (!this->context.health.recordObservation(generation, observation, now))
         return;
     logEvent(Event::UpstreamLeftOut, this->request.id,
@@ -1048,6 +1062,7 @@
     const std::optional<std::string> crash = this->crashName(crashed);
     if (!crash)
         return;
+    this->recordPartCrash(crashed, *crash, certainty);
     const Quarantine::CrashNotice notice { this->fingerprint, *crash, certainty };
     if (!this->context.suspects.record(notice))
         return;
@@ -1061,6 +1076,16 @@
             + " crashes=" + std::to_string(this->context.suspects.crashCount(this->fingerprint)));
 }
 
+void ProxiedRequest::recordPartCrash(
+    const Attempt& crashed, const std::string& crash, Quarantine::CrashCertainty certainty)
+{
+    // A call of 0 means that no upstream has received the attempt.
+    if (crashed.call == 0)
+        return;
+    this->context.partCrashes.onAttemptLost(
+        { crash, certainty, crashed.lastDataAt, this->context.clock.now(), this->request.sharedPromptParts });
+}
+
 void ProxiedRequest::announceSuspect()
 {
     if (this->context.suspects.status(this->fingerprint) != Quarantine::QuarantineStatus::Clear)
@@ -1086,6 +1111,9 @@
 {
     if (this->context.suspects.exonerate(this->fingerprint))
         this->context.onExonerated(this->fingerprint);
+    // An upstream that fails a request may not have begun to write its answer.
+    if (this->attempt->head->status < firstErrorStatus)
+        this->context.partCrashes.onCompleted(this->request.sharedPromptParts);
 }
 
 } // namespace Gateway
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -2,6 +2,7 @@
 
 #include "dispatcher.h"
 #include "memoryleasemanager.h"
+#include "partcrashexchange.h"
 #include "storesynchronizer.h"
 
 #include <foundation/clock.h>
@@ -42,6 +43,8 @@
     Relay::UpstreamHealth& health;
     Quarantine::SuspectRegistry& suspects;
     Quarantine::SilenceWatch& silenceWatch;
+    Quarantine::PromptPartRegistry& promptParts;
+    PartCrashExchange& partCrashes;
     Relay::AnswerMemory& answerMemory;
     MemoryLeaseManager<PlatformAdapter::EngineOrders>& memoryLeases;
     /** Called after a change of the ledger or of the health of upstreams; added load is published at once. */
@@ -129,6 +132,8 @@
     std::string makeFingerprint() const;
     /** Ends the request and returns true if it is quarantined. */
     bool refuseIfQuarantined();
+    /** Ends the request and returns true if it has a prompt part that crashes upstreams. */
+    bool refuseIfPartQuarantined();
     void dispatch();
     void enqueuePrompt();
     PendingPrompt makePendingPrompt() const;
@@ -209,6 +214,8 @@
     /** Records that the request was or may have been running when the upstream of the current attempt crashed. */
     void recordCrash(Quarantine::CrashCertainty certainty, std::string_view ending);
     void recordCrash(const Attempt& crashed, Quarantine::CrashCertainty certainty, std::string_view ending);
+    /** Records that the prompt parts of the request were or may have been running at a crash. */
+    void recordPartCrash(const Attempt& crashed, const std::string& crash, Quarantine::CrashCertainty certainty);
     /** Tells the other gateways that a suspect is about to run, in case this process ends before the attempt does. */
     void announceSuspect();
     /** Takes the announcement back after the attempt turned out not to have run. */
--- a/src/libs/foundation/event.cpp
+++ b/src/libs/foundation/event.cpp
@@ -104,6 +104,12 @@
         "A request was refused because upstreams crashed while they ran it." },
     { Event::SuspectCleared, "SuspectCleared", Severity::Info,
         "A request that had been running when an upstream crashed has run to its end." },
+    { Event::PromptPartQuarantined, "PromptPartQuarantined", Severity::Warning,
+        "Requests with a prompt part are refused because upstreams crashed while they ran them." },
+    { Event::PromptPartReleased, "PromptPartReleased", Severity::Info,
+        "Requests with a prompt part are no longer refused." },
+    { Event::CrashCandidates, "CrashCandidates", Severity::Info,
+        "The prompt parts that occur in most of the recorded crashes, and whether they are taken as the cause." },
 });
 
 } // namespace
--- a/src/libs/foundation/event.h
+++ b/src/libs/foundation/event.h
@@ -70,6 +70,9 @@
     SuspectAdded = 610,
     RequestQuarantined = 611,
     SuspectCleared = 612,
+    PromptPartQuarantined = 613,
+    PromptPartReleased = 614,
+    CrashCandidates = 615,
 };
 
 enum class Severity : std::uint8_t {
--- a/src/libs/quarantine/promptpartregistry.h
+++ b/src/libs/quarantine/promptpartregistry.h
@@ -115,7 +115,7 @@
     /** By name of the crash. */
     Records records;
     /** When requests with a part last ran to their end; only recent ones. */
-    std::unordered_map<PromptPart, Foundation::TimePoint> lastCompletions;
+    std::map<PromptPart, Foundation::TimePoint> lastCompletions;
     Foundation::TimePoint nextExpiry {};
     mutable std::vector<CrashCandidate> currentCandidates;
     mutable bool isOutdated = false;
--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -19,16 +19,20 @@
 constexpr const char* typeKey = "t";
 const std::string erasSuffix = "Eras";
 
+Quarantine::CrashCertainty certaintyFromNumber(std::uint64_t number)
+{
+    return number < static_cast<std::uint64_t>(Quarantine::CrashCertainty::Confirmed)
+        ? static_cast<Quarantine::CrashCertainty>(number)
+        : Quarantine::CrashCertainty::Confirmed;
+}
+
 // Older processes send no certainty and count every notice.
 Quarantine::CrashCertainty certaintyOf(const Json& notice)
 {
     constexpr std::size_t certaintyIndex = 2;
     if (notice.size() <= certaintyIndex)
         return Quarantine::CrashCertainty::Confirmed;
-    const auto number = notice.at(certaintyIndex).get<std::uint64_t>();
-    return number < static_cast<std::uint64_t>(Quarantine::CrashCertainty::Confirmed)
-        ? static_cast<Quarantine::CrashCertainty>(number)
-        : Quarantine::CrashCertainty::Confirmed;
+    return certaintyFromNumber(notice.at(certaintyIndex).get<std::uint64_t>());
 }
 
 // Omits empty strings, zeros and false, since these are the default values on decoding.
@@ -69,6 +73,23 @@
         this->object[key] = std::move(list);
     }
 
+    void operator()(const char* key, const std::vector<PartCrashNotice>& crashes)
+    {
+        Json list = Json::array();
+        for (const PartCrashNotice& notice : crashes)
+            list.push_back({ notice.crash, static_cast<std::uint64_t>(notice.certainty), notice.aliveAgeMs,
+                notice.lostAgeMs, notice.parts });
+        this->object[key] = std::move(list);
+    }
+
+    void operator()(const char* key, const std::vector<PartCompletionNotice>& completions)
+    {
+        Json list = Json::array();
+        for (const PartCompletionNotice& notice : completions)
+            list.push_back({ notice.part, notice.ageMs });
+        this->object[key] = std::move(list);
+    }
+
     void operator()(const char* key, const std::vector<Placement::UpstreamUsage>& usages)
     {
         Json list = Json::array();
@@ -159,6 +180,26 @@
             crashes.push_back({ item.at(0).get<std::string>(), item.at(1).get<std::string>(), certaintyOf(item) });
     }
 
+    void operator()(const char* key, std::vector<PartCrashNotice>& crashes) const
+    {
+        const Json* const found = this->find(key);
+        if (!found)
+            return;
+        for (const Json& item : *found)
+            crashes.push_back({ item.at(0).get<std::string>(), certaintyFromNumber(item.at(1).get<std::uint64_t>()),
+                item.at(2).get<std::int64_t>(), item.at(3).get<std::int64_t>(),
+                item.at(4).get<std::vector<std::uint64_t>>() });
+    }
+
+    void operator()(const char* key, std::vector<PartCompletionNotice>& completions) const
+    {
+        const Json* const found = this->find(key);
+        if (!found)
+            return;
+        for (const Json& item : *found)
+            completions.push_back({ item.at(0).get<std::uint64_t>(), item.at(1).get<std::int64_t>() });
+    }
+
     void operator()(const char* key, std::vector<Placement::UpstreamUsage>& usages) const
     {
         const Json* const found = this->find(key);
@@ -324,6 +365,8 @@
     visitor("cleared", m.cleared);
     visitor("possible", m.possible);
     visitor("withdrawn", m.withdrawn);
+    visitor("partCrashes", m.partCrashes);
+    visitor("partCompletions", m.partCompletions);
 }
 
 template <typename V> void visit(V&& visitor, MessageOf<Offer> auto& m)
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -69,6 +69,25 @@
     std::string difference;
 };
 
+/** A crash of an upstream and the prompt parts of requests that were running at that time; see Quarantine::PartCrash.
+ */
+struct PartCrashNotice {
+    std::string crash;
+    Quarantine::CrashCertainty certainty = Quarantine::CrashCertainty::Confirmed;
+    /** The time since the upstream was last known to run, in ms. */
+    std::int64_t aliveAgeMs = 0;
+    /** The time since the attempts were lost, in ms. */
+    std::int64_t lostAgeMs = 0;
+    std::vector<std::uint64_t> parts;
+};
+
+/** A prompt part whose requests run to their end. */
+struct PartCompletionNotice {
+    std::uint64_t part = 0;
+    /** The time since the last of them completed, in ms. */
+    std::int64_t ageMs = 0;
+};
+
 /** Requests that were running when an upstream crashed, and requests that are no longer suspects. */
 struct SuspectNotice {
     std::vector<Quarantine::CrashNotice> crashes;
@@ -78,6 +97,9 @@
     std::vector<Quarantine::CrashNotice> possible;
     /** Earlier possible crashes whose attempts turned out not to have run. */
     std::vector<Quarantine::CrashNotice> withdrawn;
+    std::vector<PartCrashNotice> partCrashes {};
+    /** Completions of parts that occur in crashes. */
+    std::vector<PartCompletionNotice> partCompletions {};
 };
 
 /** Reports that an upstream failed at the sender, so that other gateways can eject it before they fail there too. */
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -83,6 +83,8 @@
     Platform::HttpTransfers callerTransfers { this->context };
     int lastRequestNumber = 0;
     int promptTokens = 1'000;
+    /** The prompt parts of the calls; none if empty. */
+    std::string promptParts;
 
     void setup() override
     {
@@ -127,6 +129,8 @@
         call.headers
             = { "Host: h", "X-Attempt-Id: r" + std::to_string(++this->lastRequestNumber), "X-Deadline-Ms: 2000",
                   "Authorization: Token " + key, "X-Token-Usage: " + std::to_string(this->promptTokens) + ",50" };
+        if (!this->promptParts.empty())
+            call.headers.push_back("X-Prefix-Hash: " + this->promptParts);
         call.body = method == "POST" ? "body" : "";
         call.connectionUse = Platform::ConnectionUse::Dedicated;
         return this->callerTransfers.stream(std::move(call),
@@ -677,6 +681,33 @@
     LONGS_EQUAL(200, this->call("/unsafe/x", "POST").result.status);
 }
 
+TEST(GatewayCrashTest, aPromptPartThatCrashesUpstreamsIsRefusedAtAllGatewaysWhileOtherPartsRun)
+{
+    this->startGatewayWithUpstreams("app", UpstreamBehaviour::CloseBeforeAnswer);
+    const AnotherGateway other(*this, { this->settings.node.peerEndpoint.text() });
+    this->runFor(500ms);
+    const std::vector<std::uint16_t> ports { this->gatewayPort, other.port };
+    constexpr std::size_t partCrashLimit = 4;
+    for (std::size_t i = 0; i < partCrashLimit; ++i) {
+        this->promptParts = "aa:9,bad:9," + std::to_string(i) + ":9";
+        LONGS_EQUAL(502, this->call("/unsafe/" + std::to_string(i), "POST").result.status);
+    }
+    this->runFor(50ms);
+    this->setBehaviour(UpstreamBehaviour::Answer);
+    for (const std::uint16_t port : ports) {
+        this->gatewayPort = port;
+        this->promptParts = "aa:9,bad:9,f0:9";
+        const Answer refused = this->call("/unsafe/x", "POST");
+        LONGS_EQUAL(503, refused.result.status);
+        STRCMP_CONTAINS("CrashSuspected", refused.body.c_str());
+        UNSIGNED_LONGS_EQUAL(partCrashLimit, this->runCount());
+    }
+    for (const char* const parts : { "aa:9,f1:9", "ac:9,bad:9", "bad:9" }) {
+        this->promptParts = parts;
+        LONGS_EQUAL(200, this->call("/unsafe/y", "POST").result.status);
+    }
+}
+
 TEST(GatewayCrashTest, anUpstreamThatLeftWhileTheStoreTurnedOneGatewayAwayGetsNoRequests)
 {
     this->startGateway("app");
--- a/tests/auto/wire/tst_codec.cpp
+++ b/tests/auto/wire/tst_codec.cpp
@@ -113,6 +113,21 @@
     CHECK_TRUE(decoded.load == refused.load);
 }
 
+TEST(Codec, preservesCrashesOfPromptParts)
+{
+    SuspectNotice notice;
+    notice.partCrashes = { { "u/1", Quarantine::CrashCertainty::Suspected, 150, 20, { 1, ~0ull } } };
+    notice.partCompletions = { { 7, 30 } };
+    const SuspectNotice decoded = roundTrip(notice);
+    STRCMP_EQUAL("u/1", decoded.partCrashes.at(0).crash.c_str());
+    CHECK_TRUE(decoded.partCrashes.at(0).certainty == Quarantine::CrashCertainty::Suspected);
+    LONGS_EQUAL(150, decoded.partCrashes.at(0).aliveAgeMs);
+    LONGS_EQUAL(20, decoded.partCrashes.at(0).lostAgeMs);
+    CHECK_TRUE(decoded.partCrashes.at(0).parts == std::vector<std::uint64_t>({ 1, ~0ull }));
+    UNSIGNED_LONGS_EQUAL(7, decoded.partCompletions.at(0).part);
+    LONGS_EQUAL(30, decoded.partCompletions.at(0).ageMs);
+}
+
 TEST(Codec, preservesSuspects)
 {
     const SuspectNotice decoded = roundTrip(SuspectNotice { { { "f", "c" } }, { "g" }, {}, {} });
