Keep the crashes of prompt parts in the store

If all gateways are killed, what they know of a part that crashes upstreams is gone, and it ends four upstreams again. A process writes again what it stored when the store comes back from an older copy. The queue of records is a class of its own, as SuspectStore and PartCrashStore share the topic.

--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -105,8 +105,6 @@
               },
               [this] { return this->ledger.ownUsage(); }, [this] { return this->makeSuspectSnapshot(); },
               [this] { this->applyLimits(); } })
-    , partCrashes(
-          this->clock, this->promptParts, [this](const Wire::SuspectNotice& notice) { this->peers.broadcast(notice); })
     , storeSynchronizer(this->transfers, this->clock, this->bootClock, this->metrics, this->settings,
           { [this] { this->onStoreCacheChanged(); },
               [this](const std::string& upstreamGeneration) {
@@ -116,10 +114,22 @@
               [this](const std::map<std::string, std::string>& addresses) { this->peers.addMembers(addresses); },
               [this](const Wire::StoreCacheQuery& query) { return this->peers.sendQuery(query); },
               [this](const Wire::StoreCacheReply& update) { this->peers.sendToDomainPeers(update); },
-              [this](const StoreCache::KeyedRecord& record) { this->suspectStore.onRecord(record); },
-              [this](Duration delay) { this->suspectStore.onNewEra(delay); },
+              [this](const StoreCache::KeyedRecord& record) {
+                  if (PartCrashStore::ownsKey(record.key))
+                      this->partCrashStore.onRecord(record);
+                  else
+                      this->suspectStore.onRecord(record);
+              },
+              [this](Duration delay) {
+                  this->suspectStore.onNewEra(delay);
+                  this->partCrashStore.onNewEra();
+              },
               [this] { return this->peers.domainRank(); } })
-    , suspectStore(this->storeSynchronizer.storeClient(), this->clock, this->wallClock, this->suspects)
+    , suspectWriter(this->storeSynchronizer.storeClient(), this->clock)
+    , suspectStore(this->suspectWriter, this->clock, this->wallClock, this->suspects)
+    , partCrashStore(this->suspectWriter, this->clock, this->wallClock, this->promptParts)
+    , partCrashes(this->clock, this->promptParts, this->partCrashStore,
+          [this](const Wire::SuspectNotice& notice) { this->peers.broadcast(notice); })
     , dispatcher(this->clock, this->storeSynchronizer.directory(), this->health, this->ledger,
           settings.node.regionByFailureDomain, settings.node.failureDomain, settings.node.name)
     , proxyContext { this->clock, this->metrics, this->transfers, this->storeSynchronizer, this->dispatcher,
@@ -361,7 +371,7 @@
     this->confirmCrashes();
     this->flushPossibleCrashes();
     this->partCrashes.tick();
-    this->suspectStore.tick();
+    this->suspectWriter.tick();
     this->peers.tick();
     this->dispatcher.setPeerLoadAvailable(this->peers.isMajorityConnected());
     this->memoryLeases.tick();
--- a/src/apps/gateway/gatewaycore.h
+++ b/src/apps/gateway/gatewaycore.h
@@ -89,9 +89,11 @@
     Quarantine::PromptPartRegistry promptParts;
     Relay::AnswerMemory answerMemory;
     PeerConnections peers;
-    PartCrashExchange partCrashes;
     StoreSynchronizer storeSynchronizer;
+    SuspectTopicWriter suspectWriter;
     SuspectStore suspectStore;
+    PartCrashStore partCrashStore;
+    PartCrashExchange partCrashes;
     Dispatcher dispatcher;
     ProxyContext proxyContext;
     std::map<const ProxiedRequest*, std::shared_ptr<ProxiedRequest>> requests;
--- a/src/apps/gateway/partcrashexchange.cpp
+++ b/src/apps/gateway/partcrashexchange.cpp
@@ -61,9 +61,10 @@
 }
 
 PartCrashExchange::PartCrashExchange(const Foundation::Clock& clock, Quarantine::PromptPartRegistry& registry,
-    std::function<void(const Wire::SuspectNotice&)> broadcast)
+    PartCrashStore& store, std::function<void(const Wire::SuspectNotice&)> broadcast)
     : clock(clock)
     , registry(registry)
+    , store(store)
     , broadcast(std::move(broadcast))
 {
 }
@@ -72,6 +73,7 @@
 {
     if (crash.parts.empty() || !this->registry.record(crash))
         return;
+    this->store.onObserved(crash.crash);
     if (crash.certainty != CrashCertainty::Possible) {
         this->hasNewCrash = true;
         this->broadcastCrashes({ crash });
@@ -128,6 +130,7 @@
 void PartCrashExchange::tick()
 {
     this->flushPossibleCrashes();
+    this->store.tick();
     this->logDecisions();
     this->logCandidates();
 }
--- a/src/apps/gateway/partcrashexchange.h
+++ b/src/apps/gateway/partcrashexchange.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "partcrashstore.h"
+
 #include <foundation/clock.h>
 #include <quarantine/promptpartregistry.h>
 #include <wire/messages.h>
@@ -19,10 +21,11 @@
 public:
     /**
      * @param clock the time source.
-     * @param registry decides which parts crash upstreams. Both must outlive this object.
+     * @param registry decides which parts crash upstreams.
+     * @param store keeps the crashes that this process observes. All three must outlive this object.
      * @param broadcast sends a notice to all other gateways.
      */
-    PartCrashExchange(const Foundation::Clock& clock, Quarantine::PromptPartRegistry& registry,
+    PartCrashExchange(const Foundation::Clock& clock, Quarantine::PromptPartRegistry& registry, PartCrashStore& store,
         std::function<void(const Wire::SuspectNotice&)> broadcast);
 
     /** Records an attempt of this process that may have been lost at a crash. */
@@ -57,6 +60,7 @@
 
     const Foundation::Clock& clock;
     Quarantine::PromptPartRegistry& registry;
+    PartCrashStore& store;
     std::function<void(const Wire::SuspectNotice&)> broadcast;
     std::vector<Quarantine::PartCrash> unsentPossibleCrashes;
     Foundation::TimePoint nextFlush {};
--- a/src/apps/gateway/suspectstore.cpp
+++ b/src/apps/gateway/suspectstore.cpp
@@ -17,7 +17,6 @@
 
 // A request is stored from this number of crashes on.
 constexpr std::size_t repeatedCrashes = 2;
-constexpr Duration retryDelay = std::chrono::seconds(1);
 // Bounds the memory for what is queued and known while the store is away; bystanders are not stored.
 constexpr std::size_t maximumKeys = 4096;
 // Longer than a copy of the store may be old.
@@ -50,9 +49,9 @@
 
 } // namespace
 
-SuspectStore::SuspectStore(PlatformAdapter::StoreClient& store, const Foundation::Clock& clock,
+SuspectStore::SuspectStore(SuspectTopicWriter& writer, const Foundation::Clock& clock,
     const Foundation::WallClock& wallClock, Quarantine::SuspectRegistry& suspects)
-    : store(store)
+    : writer(writer)
     , clock(clock)
     , wallClock(wallClock)
     , suspects(suspects)
@@ -81,9 +80,9 @@
             continue;
         stored->second = notice.certainty;
         this->removedKeys.erase(key);
-        this->queue(key, this->encode(notice));
+        this->writer.queue(key, this->encode(notice));
     }
-    this->tick();
+    this->writer.tick();
 }
 
 void SuspectStore::remove(std::string_view fingerprint)
@@ -91,11 +90,11 @@
     const std::string prefix = keyPrefix(fingerprint);
     for (auto next = this->storedKeys.lower_bound(prefix);
          next != this->storedKeys.end() && next->first.starts_with(prefix);) {
-        this->queue(next->first, std::nullopt);
+        this->writer.queue(next->first, std::nullopt);
         this->removedKeys[next->first] = { this->clock.now(), this->era };
         next = this->storedKeys.erase(next);
     }
-    this->tick();
+    this->writer.tick();
     const auto found = this->observed.find(fingerprint);
     if (found != this->observed.end())
         this->observed.erase(found);
@@ -113,15 +112,15 @@
     std::erase_if(
         this->removedKeys, [now](const auto& removed) { return now - removed.second.time >= removalRetention; });
     for (const auto& [key, removal] : this->removedKeys)
-        this->queue(key, std::nullopt);
+        this->writer.queue(key, std::nullopt);
     for (const std::string& fingerprint : this->observed) {
         for (const CrashNotice& notice : this->suspects.openNotices(fingerprint)) {
             const std::string key = makeKey(notice);
             if (this->storedKeys.contains(key))
-                this->queue(key, this->encode(notice));
+                this->writer.queue(key, this->encode(notice));
         }
     }
-    this->nextAppend = std::max(this->nextAppend, now + delay);
+    this->writer.postpone(delay);
 }
 
 void SuspectStore::onRecord(const StoreCache::KeyedRecord& record)
@@ -151,7 +150,7 @@
         std::max<std::int64_t>(0, toEpochMs(this->wallClock.now()) - fields[timeField].get<std::int64_t>()));
     if (age >= Quarantine::SuspectRegistry::lifetime) {
         this->storedKeys.erase(record.key);
-        this->queue(record.key, std::nullopt);
+        this->writer.queue(record.key, std::nullopt);
         return;
     }
     const CrashNotice notice { fingerprint, fields[crashField].get<std::string>(), certainty };
@@ -163,37 +162,6 @@
                 + " ending=stored crashes=" + std::to_string(this->suspects.crashCount(fingerprint)));
 }
 
-void SuspectStore::tick()
-{
-    if (this->pending.empty() || this->isAppending || this->clock.now() < this->nextAppend)
-        return;
-    std::vector<StoreCache::KeyedRecord> records;
-    for (const auto& [key, value] : this->pending)
-        records.push_back({ key, value, 0 });
-    this->isAppending = true;
-    this->nextAppend = this->clock.now() + retryDelay;
-    this->store.append(PlatformAdapter::Topic::suspects, records, [this, records](bool isDone) {
-        this->isAppending = false;
-        if (!isDone) {
-            logEvent(Event::LogUnavailable, "",
-                "topic=" + std::string(PlatformAdapter::Topic::suspects)
-                    + " records=" + std::to_string(records.size()));
-            return;
-        }
-        this->nextAppend = {};
-        for (const StoreCache::KeyedRecord& record : records) {
-            const auto found = this->pending.find(record.key);
-            if (found != this->pending.end() && found->second == record.value)
-                this->pending.erase(found);
-        }
-    });
-}
-
-void SuspectStore::queue(const std::string& key, std::optional<std::string> value)
-{
-    this->pending[key] = std::move(value);
-}
-
 std::string SuspectStore::encode(const CrashNotice& notice) const
 {
     return nlohmann::json {
--- a/src/apps/gateway/suspectstore.h
+++ b/src/apps/gateway/suspectstore.h
@@ -4,7 +4,7 @@
 #include <quarantine/suspectregistry.h>
 #include <storecache/topiccache.h>
 
-#include "platform/storeclient.h"
+#include "suspecttopicwriter.h"
 
 #include <map>
 #include <optional>
@@ -22,8 +22,8 @@
 class SuspectStore {
 public:
     /** All parameters must outlive this object. */
-    SuspectStore(PlatformAdapter::StoreClient& store, const Foundation::Clock& clock,
-        const Foundation::WallClock& wallClock, Quarantine::SuspectRegistry& suspects);
+    SuspectStore(SuspectTopicWriter& writer, const Foundation::Clock& clock, const Foundation::WallClock& wallClock,
+        Quarantine::SuspectRegistry& suspects);
 
     /**
      * Stores all notices against a request if this process observed one of them and they are repeated. That includes
@@ -50,14 +50,10 @@
      */
     void onNewEra(Foundation::Duration delay);
 
-    /** Sends what is queued; called at each tick of the process. */
-    void tick();
-
 private:
-    void queue(const std::string& key, std::optional<std::string> value);
     std::string encode(const Quarantine::CrashNotice& notice) const;
 
-    PlatformAdapter::StoreClient& store;
+    SuspectTopicWriter& writer;
     const Foundation::Clock& clock;
     const Foundation::WallClock& wallClock;
     Quarantine::SuspectRegistry& suspects;
@@ -75,10 +71,6 @@
     std::map<std::string, Removal, std::less<>> removedKeys;
     /** The era of the newest record. */
     std::uint64_t era = 0;
-    /** Records that the store has not acknowledged; without a value for a removal. */
-    std::map<std::string, std::optional<std::string>> pending;
-    bool isAppending = false;
-    Foundation::TimePoint nextAppend {};
 };
 
 } // namespace Gateway
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -708,6 +708,21 @@
     }
 }
 
+// The second gateway has a store of its own, so that it cannot learn of the crashes from the first one.
+TEST(GatewayCrashTest, aPromptPartThatCrashesUpstreamsIsRefusedAfterAllGatewaysWereKilled)
+{
+    this->startGatewayWithUpstreams("app", UpstreamBehaviour::CloseBeforeAnswer);
+    for (int i = 0; i < 4; ++i) {
+        this->promptParts = "aa:9,bad:9," + std::to_string(i) + ":9";
+        LONGS_EQUAL(502, this->call("/unsafe/" + std::to_string(i), "POST").result.status);
+    }
+    this->runFor(500ms);
+    const AnotherGateway restarted(*this);
+    this->gatewayPort = restarted.port;
+    this->promptParts = "aa:9,bad:9,f0:9";
+    STRCMP_CONTAINS("CrashSuspected", this->call("/unsafe/x", "POST").body.c_str());
+}
+
 TEST(GatewayCrashTest, anUpstreamThatLeftWhileTheStoreTurnedOneGatewayAwayGetsNoRequests)
 {
     this->startGateway("app");
