Compare crash notices with the list as soon as an upstream ends

What upstreams could see: a request whose three upstreams fell silent and ended ran a fourth time. Since such crashes are possible ones until the list shows the end, and the comparison with the list came up to half a second later.

--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -110,6 +110,8 @@
               [this](const std::string& upstreamGeneration) {
                   this->health.remove(upstreamGeneration);
                   this->dispatcher.removeGeneration(upstreamGeneration);
+                  // Possible crashes of the generation count from now on.
+                  this->nextCrashConfirmation = {};
               },
               [this](const std::map<std::string, std::string>& addresses) { this->peers.addMembers(addresses); },
               [this](const Wire::StoreCacheQuery& query) { return this->peers.sendQuery(query); },
