Do not end an attempt at a sound upstream for a late rejection by a silent one

What callers saw: a request whose first upstream fell silent was sent to a second one that worked on it; when the first one then rejected it, failed, or broke its stream off inside an event, the caller got 502 or 500 although the second upstream would have answered.

Cause: anything that arrived for the parked attempt made it the current one (resumeParkedAttempt), also a head with X-Not-Executed or status 5xx, and the end of an answer with a defect. The second attempt was cancelled and counted, so that no run was left. Change: only a valid head below 500 and an end without a defect resume the parked attempt; otherwise the parked one ends. An end inside an event or before the first event of a stream counts as a break, as for the current attempt.

No check is changed; the stand-in's silence is a member now.

--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -86,6 +86,11 @@
     return "";
 }
 
+bool isValidAnswer(const PlatformAdapter::AnswerHeaders& headers, int status)
+{
+    return headers.belongsToRequest && (status >= firstErrorStatus || (headers.isSigned && !headers.isEncoded));
+}
+
 } // namespace
 
 ProxiedRequest::ProxiedRequest(ProxyContext& context, std::shared_ptr<Web::HttpExchange> exchange)
@@ -371,20 +376,21 @@
 
 void ProxiedRequest::onAnswerHead(std::uint64_t attemptNumber, Platform::HttpAnswerHead head)
 {
+    PlatformAdapter::AnswerHeaders decoded = PlatformAdapter::decodeAnswerHeaders(head, this->request.id);
     const bool isCurrent = this->attempt && attemptNumber == this->currentAttemptNumber;
-    if (!isCurrent && !this->resumeParkedAttempt(attemptNumber)) {
+    const bool isSuccess
+        = isValidAnswer(decoded, head.status) && !decoded.isNotExecuted && head.status < firstServerErrorStatus;
+    if (!isCurrent && !(isSuccess && this->resumeParkedAttempt(attemptNumber))) {
         this->onLateData(attemptNumber);
         return;
     }
     this->attempt->lastDataAt = this->context.clock.now();
-    this->attempt->headers = PlatformAdapter::decodeAnswerHeaders(head, this->request.id);
+    this->attempt->headers = std::move(decoded);
     this->context.suspects.recordAnswer(this->attempt->assignment.upstreamGeneration);
     const auto& headers = this->attempt->headers;
     const int status = head.status;
     this->attempt->head = std::move(head);
-    const bool isValid
-        = headers.belongsToRequest && (status >= firstErrorStatus || (headers.isSigned && !headers.isEncoded));
-    if (!isValid) {
+    if (!isValidAnswer(headers, status)) {
         this->recordCrash(Quarantine::CrashCertainty::Possible, "invalid answer");
         this->onAttemptFailed(RunOutcome::MayHaveRun, ResultCode::AnswerIncomplete, true);
         return;
@@ -598,9 +604,14 @@
 {
     const bool isCurrent = this->attempt && attemptNumber == this->currentAttemptNumber;
     const bool isWhole = result.outcome == Platform::CallOutcome::Complete;
-    if (!isCurrent && !(isWhole && this->resumeParkedAttempt(attemptNumber))) {
-        // An upstream that ends an answer in order has gone on.
-        if (isWhole)
+    // The other attempt goes on if the answer of the parked one has a defect.
+    const bool isParked = this->parked && this->parked->number == attemptNumber;
+    const bool isDefective = isParked && !findDefect(result, this->parked->attempt, this->parked->events).empty();
+    if (!isCurrent && !(isWhole && !isDefective && this->resumeParkedAttempt(attemptNumber))) {
+        // An upstream that ends an answer in order has gone on. A stream that is resumed after its last event is empty.
+        const bool mayBeEmpty = isDefective && this->hasStreamBegun && this->parked->attempt.isPrefilling
+            && !this->parked->events.isInsideEvent();
+        if (isWhole && (!isDefective || mayBeEmpty))
             this->onLateData(attemptNumber);
         else
             this->onLateBreak(attemptNumber);
@@ -616,7 +627,7 @@
         this->onRejected();
         return;
     }
-    if (const std::string defect = this->findDefect(result); !defect.empty()) {
+    if (const std::string defect = findDefect(result, *this->attempt, this->events); !defect.empty()) {
         logEvent(Event::AttemptFinished, this->request.id,
             "upstream=" + this->attempt->assignment.upstreamGeneration + " error=" + defect
                 + " partial_event_bytes=" + std::to_string(this->events.partialEvent().size()));
@@ -667,19 +678,20 @@
         && this->timeLeft() > 2 * this->route->firstEventTarget;
 }
 
-std::string ProxiedRequest::findDefect(const Platform::HttpCallResult& result) const
+std::string ProxiedRequest::findDefect(
+    const Platform::HttpCallResult& result, const Attempt& ended, const Relay::EventSplitter& endedEvents)
 {
     if (result.outcome != Platform::CallOutcome::Complete)
         return result.error;
-    if (!this->attempt->head)
+    if (!ended.head)
         return "the answer has no head";
-    if (!this->attempt->isStream)
+    if (!ended.isStream)
         return {};
-    if (this->events.isInsideEvent())
+    if (endedEvents.isInsideEvent())
         return "the stream ended inside an event";
     // Nothing shows that such a stream was meant to be empty.
-    const bool isEmpty = this->attempt->isPrefilling;
-    if (isEmpty && this->attempt->head->framing == Platform::BodyFraming::ConnectionClose)
+    const bool isEmpty = ended.isPrefilling;
+    if (isEmpty && ended.head->framing == Platform::BodyFraming::ConnectionClose)
         return "the connection was closed before the first event";
     return {};
 }
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -151,7 +151,10 @@
     void onLateData(std::uint64_t attemptNumber);
     /** Handles that the connection of an earlier attempt has broken. */
     void onLateBreak(std::uint64_t attemptNumber);
-    /** Continues with the parked attempt if it is the given one. Returns whether it is the current attempt now. */
+    /**
+     * Continues with the parked attempt if it is the given one and its upstream serves the request.
+     * Returns whether it is the current attempt now.
+     */
     bool resumeParkedAttempt(std::uint64_t attemptNumber);
     /** Continues with the parked attempt, whose upstream may still go on. Ends the other attempt. */
     void returnToParkedAttempt();
@@ -172,7 +175,8 @@
     void beginStream();
     void recordFirstEvent();
     /** Returns why the answer that has arrived is not complete; empty if it is complete. */
-    std::string findDefect(const Platform::HttpCallResult& result) const;
+    static std::string findDefect(
+        const Platform::HttpCallResult& result, const Attempt& ended, const Relay::EventSplitter& endedEvents);
     void finishStream();
     void deliverBufferedAnswer();
     /** Returns whether a failed answer that arrived completely is dropped and the request run again. */
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -149,6 +149,20 @@
         return *answer;
     }
 
+    /** Sends a stream whose first upstream goes on, as given, while the second one still works on the request. */
+    Answer callStreamAtTwoUpstreams(UpstreamBehaviour first, UpstreamBehaviour second)
+    {
+        this->upstreamOne.behaviour = this->upstreamTwo.behaviour = first;
+        const auto answer = std::make_shared<Answer>();
+        this->send("/stream/x", answer, "POST");
+        CHECK_TRUE(this->runUntil([this] { return this->startedRequestCount() == 1; }));
+        StandinUpstream& other = this->upstreamOne.startedRequests.empty() ? this->upstreamOne : this->upstreamTwo;
+        other.behaviour = second;
+        other.silence = 600ms;
+        CHECK_TRUE(this->runUntil([&] { return answer->isFinished; }));
+        return *answer;
+    }
+
     std::size_t startedRequestCount() const
     {
         return this->upstreamOne.startedRequests.size() + this->upstreamTwo.startedRequests.size();
@@ -301,6 +315,24 @@
     CHECK_TRUE(this->core.renderMetrics().find("bluebell_suspects_total") == std::string::npos);
 }
 
+TEST(GatewayTest, aLateRejectionOfASilentUpstreamDoesNotEndTheAttemptAtAnotherUpstream)
+{
+    this->startGateway("llm");
+    const Answer answer
+        = this->callStreamAtTwoUpstreams(UpstreamBehaviour::RejectAfterSilence, UpstreamBehaviour::AnswerAfterSilence);
+    LONGS_EQUAL(200, answer.result.status);
+    STRCMP_CONTAINS("id: 5\n", answer.body.c_str());
+}
+
+TEST(GatewayTest, aLateErrorOfASilentUpstreamDoesNotEndTheAttemptAtAnotherUpstream)
+{
+    this->startGateway("llm");
+    const Answer answer = this->callStreamAtTwoUpstreams(
+        UpstreamBehaviour::AnswerErrorAfterSilence, UpstreamBehaviour::AnswerAfterSilence);
+    LONGS_EQUAL(200, answer.result.status);
+    STRCMP_CONTAINS("id: 5\n", answer.body.c_str());
+}
+
 TEST(GatewayTest, aStreamThatCannotBeResumedEndsAsBroken)
 {
     this->startGateway("llm");
--- a/tests/standins/standinupstream.cpp
+++ b/tests/standins/standinupstream.cpp
@@ -73,7 +73,10 @@
         this->answerStreamWithPause(exchange);
         break;
     case UpstreamBehaviour::AnswerAfterSilence:
-        this->answerStreamAfterSilence(exchange, last.empty() ? 1 : std::stoi(std::string(last)) + 1);
+    case UpstreamBehaviour::RejectAfterSilence:
+    case UpstreamBehaviour::AnswerErrorAfterSilence:
+    case UpstreamBehaviour::CloseAfterSilence:
+        this->answerAfterSilence(exchange, last.empty() ? 1 : std::stoi(std::string(last)) + 1);
         break;
     case UpstreamBehaviour::NeverAnswer:
         exchange->setDisconnectHandler([this] { ++this->abandonedCalls; });
@@ -108,11 +111,19 @@
     exchange.finish();
 }
 
-void StandinUpstream::answerStreamAfterSilence(const std::shared_ptr<Web::HttpExchange>& exchange, int firstEvent)
+void StandinUpstream::answerAfterSilence(const std::shared_ptr<Web::HttpExchange>& exchange, int firstEvent)
 {
-    const auto timer = std::make_shared<asio::steady_timer>(this->context, standinSilence);
-    timer->async_wait([this, timer, exchange, firstEvent](const asio::error_code& error) {
-        if (!error)
+    const auto timer = std::make_shared<asio::steady_timer>(this->context, this->silence);
+    timer->async_wait([this, timer, exchange, firstEvent, chosen = this->behaviour](const asio::error_code& error) {
+        if (error)
+            return;
+        if (chosen == UpstreamBehaviour::RejectAfterSilence)
+            exchange->respond({ 503, "text/plain", { { "X-Not-Executed", "1" } }, "", false });
+        else if (chosen == UpstreamBehaviour::AnswerErrorAfterSilence)
+            exchange->respond(makeSignedReply(exchange->request(), 500, "failed"));
+        else if (chosen == UpstreamBehaviour::CloseAfterSilence)
+            exchange->abort();
+        else
             this->answerStream(*exchange, firstEvent);
     });
 }
--- a/tests/standins/standinupstream.h
+++ b/tests/standins/standinupstream.h
@@ -34,8 +34,14 @@
     BlameHelper,
     /** Answers with several MB, as a call or as a stream of many events. */
     AnswerLong,
-    /** Falls silent before it answers a stream, and goes on after standinSilence. */
+    /** Falls silent before it answers a stream, and goes on after its silence. */
     AnswerAfterSilence,
+    /** Falls silent, and rejects the request as not run after its silence. */
+    RejectAfterSilence,
+    /** Falls silent, and answers with status 500 after its silence. */
+    AnswerErrorAfterSilence,
+    /** Falls silent, and closes the connection after its silence. */
+    CloseAfterSilence,
 };
 
 /** How long a sound upstream falls silent. */
@@ -57,6 +63,8 @@
     std::string entry(const std::string& service, bool isDraining = false) const;
 
     UpstreamBehaviour behaviour = UpstreamBehaviour::Answer;
+    /** How long it falls silent. */
+    std::chrono::milliseconds silence = standinSilence;
     /** The start of its generation, as its entry gives it. */
     std::int64_t startedAtMs = 1;
     /** The requests that it started to run. */
@@ -70,7 +78,7 @@
     void handle(const std::shared_ptr<Web::HttpExchange>& exchange);
     void answerStream(Web::HttpExchange& exchange, int firstEvent);
     void answerStreamWithPause(const std::shared_ptr<Web::HttpExchange>& exchange);
-    void answerStreamAfterSilence(const std::shared_ptr<Web::HttpExchange>& exchange, int firstEvent);
+    void answerAfterSilence(const std::shared_ptr<Web::HttpExchange>& exchange, int firstEvent);
 
     std::string id;
     std::uint16_t port;
