--- a/tests/standins/crashableupstream.cpp
+++ b/tests/standins/crashableupstream.cpp
@@ -3,6 +3,7 @@
 #include "standinanswer.h"
 
 #include <csignal>
+#include <fcntl.h>
 #include <optional>
 #include <unistd.h>
 
@@ -10,6 +11,10 @@
 
 constexpr auto stepInterval = std::chrono::milliseconds(40);
 constexpr int lastStep = 5;
+// A slow run takes longer than a gateway that stops waits for it.
+constexpr auto slowStepInterval = std::chrono::milliseconds(200);
+constexpr int lastSlowStep = 60;
+constexpr int rejectedSends = 2;
 // A late crash comes after two events of a stream.
 constexpr int lateCrashStep = 3;
 constexpr auto lateCrashDelay = std::chrono::milliseconds(250);
@@ -67,7 +72,9 @@
     , id(std::move(id))
     , server(context, { "127.0.0.1", port, 1 << 20 },
           [this](const std::shared_ptr<Web::HttpExchange>& exchange) { this->handle(exchange); })
+    , runLogPath(runLog)
     , runLog(runLog, this->id)
+    , leases(context, this->runLog)
 {
 }
 
@@ -83,6 +90,20 @@
         exchange->respond({ 421, "text/plain", { { "X-Instance-Id", this->id } }, "", false });
         return;
     }
+    if (request.path == "/order") {
+        this->leases.handleOrder(*exchange);
+        return;
+    }
+    if (this->mustReject(request)) {
+        Web::HttpReply rejection { 503, "text/plain", { { "X-Not-Executed", "1" } }, "", false };
+        if (hasSegment(request, "/unfinished/")) {
+            exchange->beginStream(rejection);
+            this->unfinishedExchanges.push_back(exchange);
+        } else {
+            exchange->respond(std::move(rejection));
+        }
+        return;
+    }
     this->runLog.write("begin", request.header("X-Attempt-Id"));
     const auto run = std::make_shared<Run>(Run { exchange, asio::steady_timer(this->context), false, std::nullopt });
     run->isStream = request.path.starts_with("/stream/");
@@ -99,18 +120,40 @@
     this->continueRun(run);
 }
 
+bool CrashableUpstream::mustReject(const Web::HttpRequest& request) const
+{
+    if (hasSegment(request, "/rejected/"))
+        return true;
+    if (!hasSegment(request, "/rejected-twice/"))
+        return false;
+    // The upstreams are processes of their own, so the sends are counted by files beside the run log.
+    for (int send = 1; send <= rejectedSends; ++send) {
+        const std::string mark
+            = this->runLogPath + "." + std::string(request.header("X-Attempt-Id")) + "." + std::to_string(send);
+        const int file = ::open(mark.c_str(), O_CREAT | O_EXCL | O_CLOEXEC, 0644);
+        if (file < 0)
+            continue;
+        ::close(file);
+        return true;
+    }
+    return false;
+}
+
 void CrashableUpstream::continueRun(const std::shared_ptr<Run>& run)
 {
     const bool waitsForCrash = run->crash && run->step + 1 >= run->crash->step;
-    run->timer.expires_after(waitsForCrash ? run->crash->delay : stepInterval);
-    run->timer.async_wait([this, run, waitsForCrash](const asio::error_code&) {
+    const bool isSlow = hasSegment(run->exchange->request(), "/slow/");
+    const auto interval = isSlow ? slowStepInterval : stepInterval;
+    const int last = isSlow ? lastSlowStep : lastStep;
+    run->timer.expires_after(waitsForCrash ? run->crash->delay : interval);
+    run->timer.async_wait([this, run, waitsForCrash, last](const asio::error_code&) {
         const Web::HttpRequest& request = run->exchange->request();
         if (waitsForCrash)
             this->crash(request);
         ++run->step;
         if (run->isStream)
             run->exchange->write(makeEvent(run->step));
-        if (run->step < lastStep) {
+        if (run->step < last) {
             this->continueRun(run);
         } else if (run->isStream) {
             run->exchange->finish();
--- a/tests/standins/crashableupstream.h
+++ b/tests/standins/crashableupstream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "engineleases.h"
 #include "runlog.h"
 
 #include <web/httpserver.h>
@@ -9,6 +10,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 /** The beginning of the ids of parts that crash upstreams. */
 constexpr const char* crashingPartMark = "dead";
@@ -18,8 +20,10 @@
  * segments /crash/reset/ or /crash/silence/ kills or stops the process; with the segment /late/ it does so in the
  * middle of the run, also if the caller has left. A path that contains /part/reset/ or /part/silence/ crashes it only
  * if a part of the prompt other than the last has an id that begins with crashingPartMark; the segments /head/, /first/
- * and /third/ say whether it crashes before the head, in place of the first event or after three events. Each request
- * that begins to run, and each crash, is a line of the run log.
+ * and /third/ say whether it crashes before the head, in place of the first event or after three events. With the
+ * segment /rejected-twice/ the first two sends of a request are rejected as not run, whichever upstreams receive them,
+ * and with /rejected/ all are; with /slow/ a run takes long. The segment /unfinished/ leaves out the end of a
+ * rejection. Each request that begins to run, each crash and each order to reserve memory is a line of the run log.
  */
 class CrashableUpstream {
 public:
@@ -33,11 +37,17 @@
     struct Run;
 
     void handle(const std::shared_ptr<Web::HttpExchange>& exchange);
+    /** Returns whether a send of the request is one that its path wants to be rejected. */
+    bool mustReject(const Web::HttpRequest& request) const;
     void continueRun(const std::shared_ptr<Run>& run);
     void crash(const Web::HttpRequest& request) const;
 
     asio::io_context& context;
     std::string id;
     Web::HttpServer server;
+    std::string runLogPath;
     RunLog runLog;
+    EngineLeases leases;
+    /** Kept open, since the ends of these answers are never sent. */
+    std::vector<std::shared_ptr<Web::HttpExchange>> unfinishedExchanges;
 };
--- a/tests/system/gatewayfleet.cpp
+++ b/tests/system/gatewayfleet.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <map>
 #include <sstream>
 
 namespace Proof {
@@ -19,11 +20,6 @@
 using Foundation::Duration;
 using Foundation::TimePoint;
 
-// An entry expires after three check-in intervals of 1.2 s without a word of its upstream.
-constexpr Duration entryLifetime = std::chrono::milliseconds(3'600);
-// Longer than any route's timeout, so that a stopped upstream stays silent until all its callers have given up.
-constexpr std::int64_t shortestDowntimeMs = 2'200;
-constexpr std::int64_t longestDowntimeMs = 3'200;
 constexpr int upstreamSlots = 8;
 constexpr const char* upstreamTopic = "keyed.servers";
 
@@ -51,10 +47,15 @@
     nlohmann::json stream = makeRoute("stream", "streaming", 8'000, "llm");
     stream["gap_target_ms"] = 250;
     stream["resumable"] = true;
+    // For prompts that need the memory of several engines; such a stream may run once.
+    nlohmann::json review = makeRoute("stream/review", "streaming", 12'000, "llm");
+    review["goal_ms"] = 4'000;
+    review["gap_target_ms"] = 250;
     const nlohmann::json engine = { { "slots", upstreamSlots }, { "kv_capacity", 405000 }, { "stride", 34 },
         { "step_ms", 1.31 }, { "read_per_s", 154000 }, { "pairs_per_m", 0.162 }, { "chunk", 2048 } };
     const nlohmann::json document = { { "version", version },
-        { "routes", { makeRoute("safe", "safe", 1'500, "app"), makeRoute("unsafe", "unsafe", 1'500, "app"), stream } },
+        { "routes",
+            { makeRoute("safe", "safe", 1'500, "app"), makeRoute("unsafe", "unsafe", 1'500, "app"), stream, review } },
         { "services", { { { "name", "app" } }, { { "name", "llm" }, { "engine", engine } } } },
         { "tenants", { { { "name", "tenant" }, { "api_keys", keys } } } } };
     return document.dump();
@@ -183,6 +184,12 @@
     gateway.lastDisturbance = std::chrono::steady_clock::now();
 }
 
+void GatewayFleet::stopGateway(std::size_t index)
+{
+    this->gateways[index].process->signal(SIGTERM);
+    this->gateways[index].lastDisturbance = std::chrono::steady_clock::now();
+}
+
 void GatewayFleet::pauseGateway(std::size_t index)
 {
     this->gateways[index].process->signal(SIGSTOP);
@@ -294,15 +301,7 @@
             this->partialLine += line;
             break;
         }
-        std::istringstream fields(std::exchange(this->partialLine, {}) + line);
-        RunLogEntry entry;
-        std::int64_t timeMs = 0;
-        fields >> entry.what >> entry.upstream >> entry.request >> timeMs;
-        entry.isCrash = entry.what == "crash";
-        entry.time = TimePoint(std::chrono::milliseconds(timeMs));
-        this->entries.push_back(entry);
-        if (entry.isCrash)
-            this->onCrash(entry);
+        this->readLogLine(std::exchange(this->partialLine, {}) + line);
     }
     for (UpstreamProcess& upstream : this->upstreams) {
         if (!upstream.restartAt || now < *upstream.restartAt)
@@ -321,16 +320,38 @@
     });
 }
 
+void GatewayFleet::readLogLine(const std::string& line)
+{
+    static const std::map<std::string, LeaseEvent> leaseEvents { { "reserve", LeaseEvent::Reserved },
+        { "release", LeaseEvent::Released }, { "expire", LeaseEvent::Expired } };
+    std::istringstream fields(line);
+    std::string what;
+    std::string upstream;
+    std::string name;
+    std::int64_t timeMs = 0;
+    fields >> what >> upstream >> name >> timeMs;
+    const TimePoint time { std::chrono::milliseconds(timeMs) };
+    const auto leaseEvent = leaseEvents.find(what);
+    if (leaseEvent != leaseEvents.end()) {
+        this->leaseEntries.push_back({ leaseEvent->second, upstream, name, time });
+        return;
+    }
+    this->entries.push_back({ what, what == "crash", upstream, name, time });
+    if (this->entries.back().isCrash)
+        this->onCrash(this->entries.back());
+}
+
 void GatewayFleet::onCrash(const RunLogEntry& entry)
 {
     const auto found = std::ranges::find(this->upstreams, entry.upstream, &UpstreamProcess::id);
     if (found == this->upstreams.end() || found->restartAt)
         return;
-    std::uniform_int_distribution<std::int64_t> downtime(shortestDowntimeMs, longestDowntimeMs);
+    std::uniform_int_distribution<std::int64_t> downtime(
+        this->plan.shortestDowntime.count(), this->plan.longestDowntime.count());
     found->restartAt = entry.time + std::chrono::milliseconds(downtime(this->random));
     // Most upstreams come back under a new id; the entry of the old one then expires.
     found->keepsId = this->random() % 3 == 0;
-    if (!found->keepsId)
+    if (!found->keepsId || *found->restartAt - entry.time > entryLifetime)
         this->expiringEntries.push_back({ found->id, entry.time + entryLifetime });
 }
 
--- a/tests/system/gatewayfleet.h
+++ b/tests/system/gatewayfleet.h
@@ -27,6 +27,17 @@
     Foundation::TimePoint time {};
 };
 
+/** What happened to a memory lease at an engine. */
+enum class LeaseEvent : std::uint8_t { Reserved, Released, Expired };
+
+/** A line of the run log about a memory lease. */
+struct LeaseLogEntry {
+    LeaseEvent event = LeaseEvent::Reserved;
+    std::string upstream;
+    std::string lease;
+    Foundation::TimePoint time {};
+};
+
 /**
  * Gateways and upstreams as processes of their own, and a store in this process. Restarts upstreams that crash and
  * keeps their entries in the store, as the platform does. All calls must come on the context's thread.
@@ -45,12 +56,21 @@
         std::size_t failureDomains = 1;
         /** The number of failure domains, to which the upstreams belong in turn. */
         std::size_t upstreamFailureDomains = 1;
+        /**
+         * How long a crashed upstream is down; usually longer than the timeouts of the routes for calls, so that a
+         * stopped upstream stays silent until all its callers have given up.
+         */
+        std::chrono::milliseconds shortestDowntime { 2'200 };
+        std::chrono::milliseconds longestDowntime { 3'200 };
     };
 
     /** @param programs the folder that contains the programs. @param seed decides how upstreams come back. */
     GatewayFleet(asio::io_context& context, std::filesystem::path programs, Plan plan, std::uint64_t seed);
     ~GatewayFleet();
 
+    /** An entry expires after three check-in intervals of 1.2 s without a word of its upstream. */
+    static constexpr Foundation::Duration entryLifetime = std::chrono::milliseconds(3'600);
+
     /** Starts all processes. */
     void start();
 
@@ -72,6 +92,8 @@
     }
     void startGateway(std::size_t index);
     void killGateway(std::size_t index);
+    /** Sends SIGTERM, after which the gateway ends when it has answered its requests. */
+    void stopGateway(std::size_t index);
     void pauseGateway(std::size_t index);
     void resumeGateway(std::size_t index);
 
@@ -130,6 +152,9 @@
 
     const std::vector<RunLogEntry>& runLog() const { return this->entries; }
 
+    /** Returns what happened to the memory leases at the engines. */
+    const std::vector<LeaseLogEntry>& leaseLog() const { return this->leaseEntries; }
+
     /** Returns the folder with the logs of all processes. */
     const std::filesystem::path& logFolder() const { return this->folder; }
 
@@ -170,6 +195,7 @@
     void writeSettings(std::size_t index) const;
     void startUpstream(UpstreamProcess& upstream);
     void putEntry(const UpstreamProcess& upstream, bool isDraining);
+    void readLogLine(const std::string& line);
     void onCrash(const RunLogEntry& entry);
     std::string seeds() const;
 
@@ -185,6 +211,7 @@
     std::vector<UpstreamProcess> upstreams;
     std::vector<ExpiringEntry> expiringEntries;
     std::vector<RunLogEntry> entries;
+    std::vector<LeaseLogEntry> leaseEntries;
     std::ifstream runLogFile;
     std::string partialLine;
     int lastUpstreamNumber = 0;
