Renew memory leases only while their attempt uses the memory

What callers saw: none of it directly.

Cause: a lease was renewed until its release, and the release came with the end of the attempt.

Change: MemoryLeaseManager asks the owner of a reservation at each tick whether work that uses the memory goes on, and releases it once it does not, whatever the owner does else. ProxiedRequest answers for its current attempt.

--- a/src/apps/gateway/memoryleasemanager.h
+++ b/src/apps/gateway/memoryleasemanager.h
@@ -24,15 +24,18 @@
 using MemoryReservationId = std::uint64_t;
 
 /**
- * Reserves memory of engines for prompts that do not fit on one engine. The leases are short and renewed while their
- * prompt is in flight, so that those of a killed process expire. An engine may execute an order whose answer was lost
- * much later; until this can no longer happen, the release of the lease is repeated.
+ * Reserves memory of engines for prompts that do not fit on one engine. The leases are short and renewed as long as
+ * their owner says that the memory is in use, so that those of a killed process expire and none outlives its work. An
+ * engine may execute an order whose answer was lost much later; until this can no longer happen, the release of the
+ * lease is repeated.
  * @tparam Orders sends the orders to engines, such as PlatformAdapter::EngineOrders.
  */
 template <typename Orders> class MemoryLeaseManager {
 public:
     /** Called with the names of the leases, in the order of the requirements; empty if the reservation failed. */
     using ReservationHandler = std::function<void(const std::vector<std::string>&)>;
+    /** Returns whether work that uses the memory goes on. */
+    using UseCheck = std::function<bool()>;
 
     MemoryLeaseManager(Orders& orders, const Foundation::Clock& clock, std::string leaseNamePrefix)
         : orders(orders)
@@ -43,13 +46,17 @@
 
     /**
      * Reserves memory at several engines, at all of them or at none.
-     * @param onDone called at most once, possibly before this function returns; never after release().
+     * @param isInUse asked at each tick; the memory is released once it returns false.
+     * @param onDone called at most once, possibly before this function returns; never after release(), nor once isInUse
+     * has returned false.
      * @return an id for release().
      */
-    MemoryReservationId reserve(const std::vector<MemoryRequirement>& requirements, ReservationHandler onDone)
+    MemoryReservationId reserve(
+        const std::vector<MemoryRequirement>& requirements, UseCheck isInUse, ReservationHandler onDone)
     {
         const MemoryReservationId id = ++this->lastReservationId;
         Reservation& reservation = this->reservations[id];
+        reservation.isInUse = std::move(isInUse);
         reservation.onDone = std::move(onDone);
         for (const MemoryRequirement& requirement : requirements) {
             Lease lease;
@@ -69,14 +76,16 @@
         if (found == this->reservations.end() || found->second.isReleasing)
             return;
         found->second.isReleasing = true;
+        found->second.isInUse = {};
         found->second.onDone = {};
         for (std::size_t i = 0; i < found->second.leases.size(); ++i)
             this->sendReleaseOrder(id, i);
     }
 
-    /** Sends the renewals and the repeated releases that are due. */
+    /** Releases the memory that is no longer in use, and sends the renewals and the repeated releases that are due. */
     void tick()
     {
+        this->releaseUnused();
         const Foundation::TimePoint now = this->clock.now();
         std::vector<std::pair<MemoryReservationId, std::size_t>> due;
         for (const auto& [id, reservation] : this->reservations) {
@@ -126,10 +135,23 @@
 
     struct Reservation {
         std::vector<Lease> leases;
+        UseCheck isInUse;
         ReservationHandler onDone;
         bool isReleasing = false;
     };
 
+    void releaseUnused()
+    {
+        std::vector<MemoryReservationId> unused;
+        for (const auto& [id, reservation] : this->reservations) {
+            if (!reservation.isReleasing && !reservation.isInUse())
+                unused.push_back(id);
+        }
+        for (const MemoryReservationId id : unused) {
+            this->release(id);
+        }
+    }
+
     Lease* findLease(MemoryReservationId id, std::size_t index)
     {
         const auto found = this->reservations.find(id);
--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -307,7 +307,12 @@
     const std::weak_ptr<ProxiedRequest> weak = this->weak_from_this();
     const std::uint64_t attemptNumber = this->currentAttemptNumber;
     this->attempt->memoryReservation = this->context.memoryLeases.reserve(
-        requirements, [weak, attemptNumber](const std::vector<std::string>& names) {
+        requirements,
+        [weak, attemptNumber] {
+            const auto self = weak.lock();
+            return self && self->usesReservedMemory(attemptNumber);
+        },
+        [weak, attemptNumber](const std::vector<std::string>& names) {
             const auto self = weak.lock();
             if (!self || !self->attempt || self->currentAttemptNumber != attemptNumber)
                 return;
@@ -323,6 +328,11 @@
         });
 }
 
+bool ProxiedRequest::usesReservedMemory(std::uint64_t attemptNumber) const
+{
+    return this->attempt && attemptNumber == this->currentAttemptNumber && !this->attempt->isRejected();
+}
+
 PlatformAdapter::ForwardingHeaders ProxiedRequest::makeForwardingHeaders(
     const std::vector<std::string>& leaseNames) const
 {
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -143,6 +143,8 @@
     PendingPrompt makeNextPrompt() const;
     void beginAttempt(const Assignment& assignment);
     void reserveHelperMemory();
+    /** Returns whether the work of an attempt goes on, which uses the memory reserved for it. */
+    bool usesReservedMemory(std::uint64_t attemptNumber) const;
     void sendAttempt(const std::vector<std::string>& leaseNames);
     PlatformAdapter::ForwardingHeaders makeForwardingHeaders(const std::vector<std::string>& leaseNames) const;
 
