Take no frozen upstream that accepts no connections as ended

What callers saw: an agent's upstream fell silent for a second or so. All its prompts in flight were refused as lost in a crash and became suspects, although it would have gone on (LOST).

Cause: UpstreamClient::readStatus reported every call that got no connection as refused by the upstream, and a connection attempt that times out is one. The queue of connections of a frozen process fills, and further attempts get no answer.

Change: the result of a call says whether the address refused the connection, and only that ends a generation.

--- a/src/apps/agent/upstreamclient.cpp
+++ b/src/apps/agent/upstreamclient.cpp
@@ -72,13 +72,13 @@
     call.url = this->baseUrl + "/v1/status";
     call.timeout = controlCallTimeout;
     this->transfers.fetch(std::move(call), [onEnd = std::move(onEnd)](const HttpCallResult& result) {
-        const bool connected = result.outcome != Platform::CallOutcome::NotConnected;
         const nlohmann::json value
             = nlohmann::json::parse(result.isSuccess() ? result.body : "", nullptr, /* allow_exceptions */ false);
         if (!value.is_object() || !value.contains("generation") || !value["generation"].is_string())
-            onEnd(makeDownError(result), connected);
+            onEnd(makeDownError(result), result.isRefused);
         else
-            onEnd(UpstreamStatus { value["generation"].get<std::string>(), value.value("leaving", false) }, connected);
+            onEnd(UpstreamStatus { value["generation"].get<std::string>(), value.value("leaving", false) },
+                /* isRefused */ false);
     });
 }
 
--- a/src/apps/agent/upstreamclient.h
+++ b/src/apps/agent/upstreamclient.h
@@ -64,9 +64,9 @@
 
     /**
      * Reads the status of the upstream.
-     * @param onEnd called with the status, or UpstreamDown, and with whether the upstream accepted the connection.
+     * @param onEnd called with the status, or UpstreamDown, and with whether its address refused the connection.
      */
-    void readStatus(std::function<void(Foundation::Result<UpstreamStatus>, bool connected)> onEnd);
+    void readStatus(std::function<void(Foundation::Result<UpstreamStatus>, bool isRefused)> onEnd);
 
     /**
      * Reads the list of streams that the engine runs.
--- a/src/apps/agent/upstreammonitor.cpp
+++ b/src/apps/agent/upstreammonitor.cpp
@@ -39,7 +39,7 @@
 {
     this->checking = true;
     this->client.readStatus([self = this->shared_from_this()](const Foundation::Result<UpstreamStatus>& status,
-                                bool connected) { self->onStatus(status, connected); });
+                                bool isRefused) { self->onStatus(status, isRefused); });
 }
 
 void UpstreamMonitor::scheduleCheck()
@@ -51,15 +51,15 @@
     });
 }
 
-void UpstreamMonitor::onStatus(const Foundation::Result<UpstreamStatus>& status, bool connected)
+void UpstreamMonitor::onStatus(const Foundation::Result<UpstreamStatus>& status, bool isRefused)
 {
     this->checking = false;
     if (this->stopped)
         return;
     if (!status) {
-        // An upstream that refuses connections has ended. One that accepts them without a valid status may be frozen
-        // and still hold its streams, so its generation does not end.
-        if (!connected)
+        // An upstream that refuses connections has ended. One that accepts them without a valid status, or does not
+        // answer to them, may be frozen and still hold its streams, so its generation does not end.
+        if (isRefused)
             this->endGeneration();
         this->setHealth(UpstreamHealth::Down);
     } else {
--- a/src/apps/agent/upstreammonitor.h
+++ b/src/apps/agent/upstreammonitor.h
@@ -47,7 +47,7 @@
 private:
     void check();
     void scheduleCheck();
-    void onStatus(const Foundation::Result<UpstreamStatus>& status, bool connected);
+    void onStatus(const Foundation::Result<UpstreamStatus>& status, bool isRefused);
     void setHealth(UpstreamHealth health);
     void endGeneration();
 
