Let a stopping gateway stay while reservations may be executed late

Cause: a stopping gateway ended with its last request. An order to reserve memory that got no answer may be executed seconds later, and only the gateway that sent it knows its name and repeats the release.

--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -423,7 +423,9 @@
     const Duration elapsed = now - this->shutdownStart;
     if (elapsed >= this->settings.node.shutdownGrace - killMargin)
         return true;
-    return this->requests.empty() && elapsed >= loadBalancerDelay && now - this->lastRequestEnd >= finalFlushTime;
+    // Only this process releases the memory of orders that engines execute late.
+    return this->requests.empty() && this->memoryLeases.size() == 0 && elapsed >= loadBalancerDelay
+        && now - this->lastRequestEnd >= finalFlushTime;
 }
 
 std::string GatewayCore::renderMetrics()
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -83,6 +83,8 @@
     Web::HttpServer callerServer { this->context, { "127.0.0.1", this->gatewayPort, 1 << 20 },
         [this](const std::shared_ptr<Web::HttpExchange>& exchange) { this->core.serve(exchange); } };
     Platform::HttpTransfers callerTransfers { this->context };
+    /** The operator's document at the start. */
+    std::string document = makeDocument(1, { "key" });
     int lastRequestNumber = 0;
     int promptTokens = 1'000;
     /** The prompt parts of the calls; none if empty. */
@@ -98,7 +100,7 @@
 
     void startGateway(const std::string& service)
     {
-        this->store.put("keyed.op", "config", makeDocument(1, { "key" }));
+        this->store.put("keyed.op", "config", this->document);
         this->store.put("keyed.servers", "one", this->upstreamOne.entry(service));
         this->store.put("keyed.servers", "two", this->upstreamTwo.entry(service));
         CHECK_TRUE(this->core.start().has_value());
@@ -475,6 +477,30 @@
     CHECK_TRUE(this->runUntil([&] { return isStopped; }, 1s));
 }
 
+TEST(GatewayTest, aStoppingProcessStaysWhileItsReservationsMayStillBeExecuted)
+{
+    // No engine has the memory for the prompt alone.
+    nlohmann::json smallEngines = nlohmann::json::parse(this->document);
+    smallEngines["services"][1]["engine"]["kv_capacity"] = 10'000;
+    this->document = smallEngines.dump();
+    this->promptTokens = 10'000;
+    StandinUpstream upstreamThree(this->context, "three", unusedPort());
+    upstreamThree.start();
+    this->store.put("keyed.servers", "three", upstreamThree.entry("llm"));
+    this->startGateway("llm");
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = upstreamThree.behaviour
+        = UpstreamBehaviour::NeverAnswer;
+    const Answer answer = this->call("/stream/x", "POST");
+    LONGS_EQUAL(503, answer.result.status);
+    CHECK_TRUE(this->upstreamOne.abandonedCalls > 0);
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = upstreamThree.behaviour = UpstreamBehaviour::Answer;
+    bool isStopped = false;
+    this->core.shutDown([&isStopped] { isStopped = true; });
+    this->runFor(4s);
+    CHECK_FALSE(isStopped);
+    CHECK_TRUE(this->runUntil([&] { return isStopped; }, 4s));
+}
+
 // Each record of a gateway's address ends the long polls of all other gateways. If many restarted gateways wrote their
 // unchanged addresses again, each of these records would make all others read the store.
 TEST(GatewayTest, aRestartedGatewayDoesNotWriteItsAddressAgain)
