Take no attempt that has not connected as a crash after its failover

What callers saw: a crash was suspected against a call, which counts towards its quarantine (503), although its upstream had never received it; a run of the route was used up too.

Cause: a call fails over after 250 ms of silence, and a connection attempt ends after 300 ms. By then the attempt was parked or watched, and any end of it but an orderly one counted as a broken connection (onLateBreak). Change: an attempt that ends without a connection gives its run and its possible crash back, and its upstream is recorded as unreachable or refused, as it is for the current attempt.

--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -559,6 +559,29 @@
         this->context.onSilentCrash(*watched);
 }
 
+void ProxiedRequest::onLateNotConnected(std::uint64_t attemptNumber, Observation observation)
+{
+    if (this->parked && this->parked->number == attemptNumber) {
+        const ParkedAttempt unconnected = std::move(*this->parked);
+        this->parked.reset();
+        --this->runs;
+        this->withdrawAnnouncement(unconnected.attempt);
+        this->releaseAttempt(unconnected.attempt, observation);
+        return;
+    }
+    const auto found = this->watchedCalls.find(attemptNumber);
+    if (found == this->watchedCalls.end())
+        return;
+    const auto watched = this->context.silenceWatch.take(found->second);
+    this->watchedCalls.erase(found);
+    if (!watched)
+        return;
+    --this->runs;
+    if (this->context.suspects.withdraw(watched->notice))
+        this->context.onSuspectWithdrawn(watched->notice);
+    this->recordObservation(watched->generation, observation);
+}
+
 bool ProxiedRequest::resumeParkedAttempt(std::uint64_t attemptNumber)
 {
     if (this->hasEnded || !this->parked || this->parked->number != attemptNumber)
@@ -619,6 +642,7 @@
 {
     const bool isCurrent = this->attempt && attemptNumber == this->currentAttemptNumber;
     const bool isWhole = result.outcome == Platform::CallOutcome::Complete;
+    const Observation unconnectedObservation = result.isRefused ? Observation::Refused : Observation::Unreachable;
     // The other attempt goes on if the answer of the parked one has a defect.
     const bool isParked = this->parked && this->parked->number == attemptNumber;
     const bool isDefective = isParked && !findDefect(result, this->parked->attempt, this->parked->events).empty();
@@ -628,13 +652,15 @@
             && !this->parked->events.isInsideEvent();
         if (isWhole && (!isDefective || mayBeEmpty))
             this->onLateData(attemptNumber);
+        else if (result.outcome == Platform::CallOutcome::NotConnected)
+            this->onLateNotConnected(attemptNumber, unconnectedObservation);
         else
             this->onLateBreak(attemptNumber);
         return;
     }
     if (result.outcome == Platform::CallOutcome::NotConnected) {
-        this->withdrawAnnouncement();
-        this->closeAttempt(result.isRefused ? Observation::Refused : Observation::Unreachable);
+        this->withdrawAnnouncement(*this->attempt);
+        this->closeAttempt(unconnectedObservation);
         this->onAttemptFailed(RunOutcome::NotRun, ResultCode::UpstreamDown, false);
         return;
     }
@@ -664,7 +690,7 @@
 
 void ProxiedRequest::onRejected()
 {
-    this->withdrawAnnouncement();
+    this->withdrawAnnouncement(*this->attempt);
     const PlatformAdapter::AnswerHeaders headers = this->attempt->headers;
     const std::string generation = this->attempt->assignment.upstreamGeneration;
     logEvent(Event::AttemptRefused, this->request.id,
@@ -1125,9 +1151,9 @@
         this->recordCrash(Quarantine::CrashCertainty::Possible, "announced");
 }
 
-void ProxiedRequest::withdrawAnnouncement()
+void ProxiedRequest::withdrawAnnouncement(const Attempt& notRun)
 {
-    const std::optional<std::string> crash = this->crashName(*this->attempt);
+    const std::optional<std::string> crash = this->crashName(notRun);
     if (!crash)
         return;
     const Quarantine::CrashNotice notice { this->fingerprint, *crash, Quarantine::CrashCertainty::Possible };
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -155,6 +155,8 @@
     void onLateData(std::uint64_t attemptNumber);
     /** Handles that the connection of an earlier attempt has broken. */
     void onLateBreak(std::uint64_t attemptNumber);
+    /** Handles that an earlier attempt has not reached its upstream, so it has not run. */
+    void onLateNotConnected(std::uint64_t attemptNumber, Relay::Observation observation);
     /**
      * Continues with the parked attempt if it is the given one and its upstream serves the request.
      * Returns whether it is the current attempt now.
@@ -227,7 +229,7 @@
     /** Tells the other gateways that a suspect is about to run, in case this process ends before the attempt does. */
     void announceSuspect();
     /** Takes the announcement back after the attempt turned out not to have run. */
-    void withdrawAnnouncement();
+    void withdrawAnnouncement(const Attempt& notRun);
     /** Returns the name under which a crash at the current attempt is recorded; none if it was caused before. */
     std::optional<std::string> crashName(const Attempt& crashed) const;
     /** Removes what is recorded against the request after it has run to its end. */
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -1,5 +1,6 @@
 #include "../unusedport.h"
 #include "gatewaycore.h"
+#include "standinanswer.h"
 #include "standinstore.h"
 #include "standinupstream.h"
 
@@ -372,6 +373,32 @@
     UNSIGNED_LONGS_EQUAL(2, this->startedRequestCount());
 }
 
+// A call fails over after 250 ms, before its connection attempt ends.
+TEST(GatewayTest, aCallThatHasNotConnectedIsNoCrashAfterItsFailover)
+{
+    asio::ip::tcp::acceptor acceptor(this->context);
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), unusedPort());
+    acceptor.open(asio::ip::tcp::v4());
+    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+    acceptor.bind(endpoint);
+    // Once this queue is full, no more connections are established.
+    acceptor.listen(0);
+    std::vector<asio::ip::tcp::socket> queued;
+    for (int i = 0; i < 4; ++i) {
+        queued.emplace_back(this->context);
+        queued.back().async_connect(endpoint, [](const asio::error_code&) {});
+    }
+    this->upstreamTwo.behaviour = UpstreamBehaviour::AnswerAfterSilence;
+    this->upstreamTwo.silence = 200ms;
+    this->startGateway("app");
+    this->store.removeKey("keyed.servers", "one");
+    this->store.put("keyed.servers", "three", makeUpstreamEntry({ "app", endpoint.port() }));
+    this->runFor(1s);
+    for (int i = 0; i < 4; ++i)
+        LONGS_EQUAL(200, this->call("/patient/x").result.status);
+    CHECK_TRUE(this->core.renderMetrics().find("bluebell_suspects_total") == std::string::npos);
+}
+
 TEST(GatewayTest, aStreamThatCannotBeResumedEndsAsBroken)
 {
     this->startGateway("llm");
