Report only connections that the address refused as refused

A refused connection makes an upstream doubtful at all gateways and raises the possible crashes of all requests there to suspected ones. HttpTransfers reported it for each failure to connect that was not a timeout: also where the network has no route, or this process has no port or socket left, which says nothing about the upstream.

Change: isRefused needs ECONNREFUSED. Evidence: aConnectionThatTheAddressHasNotRefusedIsNotReportedAsRefused failed before and passes; HttpTransfers 15 of 15. reportsARefusedConnectionAsNotConnected also checks isRefused now.

--- a/src/libs/platform/httptransfers.cpp
+++ b/src/libs/platform/httptransfers.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 #include <map>
 
@@ -71,6 +72,14 @@
     return static_cast<int>(status);
 }
 
+// Returns the errno of the last connection attempt.
+long connectError(CURL* easy)
+{
+    long error = 0;
+    curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &error);
+    return error;
+}
+
 std::string_view trimmed(std::string_view text)
 {
     constexpr std::string_view blanks = " \t\r\n";
@@ -299,7 +308,8 @@
     transfer.result.status = answerStatus(transfer.easy.get());
     transfer.result.contentType = answerContentType(transfer.easy.get());
     transfer.result.error = errorText(code, transfer);
-    transfer.result.isRefused = code == CURLE_COULDNT_CONNECT && !transfer.wasSent;
+    transfer.result.isRefused
+        = code == CURLE_COULDNT_CONNECT && !transfer.wasSent && connectError(transfer.easy.get()) == ECONNREFUSED;
     asio::post(
         *transfer.context, [onEnd = std::move(transfer.handlers.onEnd), result = std::move(transfer.result)]() mutable {
             onEnd(std::move(result));
--- a/tests/auto/platform/tst_httptransfers.cpp
+++ b/tests/auto/platform/tst_httptransfers.cpp
@@ -124,6 +124,21 @@
     }
 };
 
+HttpCallResult callUnavailableServer(const std::string& address)
+{
+    asio::io_context context { 1 };
+    HttpTransfers transfers(context);
+    std::optional<HttpCallResult> result;
+    HttpCall call;
+    call.url = "http://" + address + "/";
+    transfers.fetch(std::move(call), [&result](const HttpCallResult& ended) { result = ended; });
+    const auto guard = asio::make_work_guard(context);
+    const auto deadline = std::chrono::steady_clock::now() + testTimeout;
+    while (!result && std::chrono::steady_clock::now() < deadline)
+        context.run_one_for(std::chrono::milliseconds(100));
+    return result.value_or(HttpCallResult {});
+}
+
 } // namespace
 
 TEST_GROUP(HttpTransfers) {};
@@ -147,18 +162,17 @@
 
 TEST(HttpTransfers, reportsARefusedConnectionAsNotConnected)
 {
-    asio::io_context context { 1 };
-    const std::uint16_t port = unusedPort();
-    HttpTransfers transfers(context);
-    std::optional<CallOutcome> outcome;
-    HttpCall call;
-    call.url = "http://127.0.0.1:" + std::to_string(port) + "/";
-    transfers.fetch(std::move(call), [&outcome](const HttpCallResult& result) { outcome = result.outcome; });
-    const auto guard = asio::make_work_guard(context);
-    const auto deadline = std::chrono::steady_clock::now() + testTimeout;
-    while (!outcome && std::chrono::steady_clock::now() < deadline)
-        context.run_one_for(std::chrono::milliseconds(100));
-    CHECK_TRUE(outcome == CallOutcome::NotConnected);
+    const HttpCallResult result = callUnavailableServer("127.0.0.1:" + std::to_string(unusedPort()));
+    CHECK_TRUE(result.outcome == CallOutcome::NotConnected);
+    CHECK_TRUE(result.isRefused);
+}
+
+// The system does not even try to connect to the broadcast address.
+TEST(HttpTransfers, aConnectionThatTheAddressHasNotRefusedIsNotReportedAsRefused)
+{
+    const HttpCallResult result = callUnavailableServer("255.255.255.255:9");
+    CHECK_TRUE(result.outcome == CallOutcome::NotConnected);
+    CHECK_FALSE(result.isRefused);
 }
 
 // libcurl closes the broken connection and opens a new one within the same event, and the new socket has the number of
