Play sound upstreams that fall silent together under twice the load

Each kind of change now has a scenario "-anywhere-busy" with up to 100 requests a second, mostly streams, whose upstreams all fall silent together.

The 502 DeadlineUnreachable come from a retry that gave up its attempt without asking whether an engine has room for it, and was refused by the queue 0.7 s later; the attempt's upstream went on.

The text of the check of callers who leave says what it counts; its bound is as before.

--- a/tests/system/silencescenario.cpp
+++ b/tests/system/silencescenario.cpp
@@ -22,6 +22,7 @@
 constexpr Duration settlingTime = 1s;
 constexpr Duration loadTime = 13s;
 constexpr Duration requestInterval = 20ms;
+constexpr Duration busyRequestInterval = 10ms;
 // The users' callers: when they give up, and the half second in which the last answer must have reached them.
 constexpr milliseconds streamDeadline { 7'000 };
 constexpr milliseconds callDeadline { 4'000 };
@@ -143,7 +144,7 @@
         , random(seed * 1'000'003 + static_cast<std::uint64_t>(scenario.change) * 101
               + (scenario.moment ? static_cast<std::uint64_t>(*scenario.moment) + 1 : 0))
         , fleet(this->context, programs, makePlan(), seed)
-        , arePausesTogether(seed % 2 == 0)
+        , arePausesTogether(scenario.isBusy || seed % 2 == 0)
         , nextPauses(this->fleet.upstreamCount())
     {
     }
@@ -203,7 +204,8 @@
             return;
         this->pauseUpstreams(now);
         this->changeConfiguration(now);
-        for (; now >= this->nextRequest; this->nextRequest = std::max(this->nextRequest, now) + requestInterval)
+        const Duration interval = this->scenario.isBusy ? busyRequestInterval : requestInterval;
+        for (; now >= this->nextRequest; this->nextRequest = std::max(this->nextRequest, now) + interval)
             this->sendRequest(now);
     }
 
@@ -277,7 +279,10 @@
     const RouteTraits& drawRoute()
     {
         constexpr auto shares = std::to_array<std::size_t>({ 0, 0, 0, 0, 1, 1, 2, 2, 3, 3 });
-        return routes[shares[static_cast<std::size_t>(this->draw(0, shares.size() - 1))]];
+        constexpr auto busyShares = std::to_array<std::size_t>({ 0, 0, 0, 0, 0, 0, 1, 1, 1, 3 });
+        static_assert(shares.size() == busyShares.size());
+        const auto draw = static_cast<std::size_t>(this->draw(0, shares.size() - 1));
+        return routes[this->scenario.isBusy ? busyShares[draw] : shares[draw]];
     }
 
     void sendRequest(TimePoint now)
@@ -362,7 +367,7 @@
             this->addViolation("answers have wrong or repeated events", id);
         if (request.isAbandoned) {
             ++this->result.abandoned;
-            this->addViolation("callers left after a gap that no pause of one upstream explains", id);
+            this->addViolation("callers left after a gap of two seconds", id);
             return;
         }
         if (!request.isFinished) {
@@ -462,7 +467,7 @@
 
 std::string SilenceScenario::name() const
 {
-    return std::string(changeName(this->change)) + "-" + momentName(this->moment);
+    return std::string(changeName(this->change)) + "-" + momentName(this->moment) + (this->isBusy ? "-busy" : "");
 }
 
 std::vector<SilenceScenario> allSilenceScenarios()
@@ -475,6 +480,7 @@
                  AnswerMoment::BetweenEvents, AnswerMoment::BeforeEnd })
             scenarios.push_back({ change, moment });
         scenarios.push_back({ change, std::nullopt });
+        scenarios.push_back({ change, std::nullopt, /* isBusy */ true });
     }
     return scenarios;
 }
--- a/tests/system/silencescenario.h
+++ b/tests/system/silencescenario.h
@@ -27,8 +27,10 @@
     ConfigurationChange change = ConfigurationChange::None;
     /** Where an answer of the upstream has come to when it falls silent; any moment if none. */
     std::optional<AnswerMoment> moment;
+    /** Whether there are twice as many requests, mostly streams, and all upstreams fall silent together. */
+    bool isBusy = false;
 
-    /** Returns a name of the form document-inside-event. */
+    /** Returns a name of the form document-inside-event or document-anywhere-busy. */
     std::string name() const;
 };
 
