Withdraw the possible crashes of prompt parts at upstreams that were silent and go on

A sound upstream may fall silent for a second or so. Its attempts are recorded as possible crashes of their prompt parts, and stayed so after it went on: a loss of the same generation within ten seconds then counted against them. onSilenceEnded() now withdraws them like those of whole requests, here and, by a new list in the notice, at the other gateways.

--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -262,6 +262,7 @@
     const std::vector<CrashNotice> withdrawn = this->suspects.withdrawGeneration(generation);
     if (!withdrawn.empty())
         this->peers.broadcast(Wire::SuspectNotice { {}, {}, {}, withdrawn });
+    this->partCrashes.onSilenceEnded(generation);
     this->health.recordRecovery(generation, this->clock.now());
     logEvent(
         Event::SilenceEnded, "", "upstream=" + generation + " withdrawn_crashes=" + std::to_string(withdrawn.size()));
--- a/src/apps/gateway/partcrashexchange.cpp
+++ b/src/apps/gateway/partcrashexchange.cpp
@@ -1,6 +1,7 @@
 #include "partcrashexchange.h"
 
 #include <foundation/logging.h>
+#include <quarantine/suspectregistry.h>
 
 #include <algorithm>
 #include <array>
@@ -100,11 +101,25 @@
     this->hasNewCrash = !this->registry.suspectGeneration(generation).empty() || this->hasNewCrash;
 }
 
+void PartCrashExchange::onSilenceEnded(const std::string& generation)
+{
+    std::erase_if(this->unsentPossibleCrashes, [&generation](const PartCrash& crash) {
+        return Quarantine::SuspectRegistry::generationOf(crash.crash) == generation;
+    });
+    if (!this->registry.withdrawGeneration(generation))
+        return;
+    Wire::SuspectNotice notice;
+    notice.partWithdrawn.push_back(generation);
+    this->broadcast(notice);
+}
+
 void PartCrashExchange::onNotice(const Wire::SuspectNotice& notice)
 {
     const TimePoint now = this->clock.now();
     for (const Wire::PartCompletionNotice& completion : notice.partCompletions)
         this->registry.recordCompletion(std::span(&completion.part, 1), now - fromAge(completion.ageMs));
+    for (const std::string& generation : notice.partWithdrawn)
+        this->registry.withdrawGeneration(generation);
     for (const Wire::PartCrashNotice& crash : notice.partCrashes) {
         const bool isNew = this->registry.record({ crash.crash, crash.certainty, now - fromAge(crash.aliveAgeMs),
             now - fromAge(crash.lostAgeMs), crash.parts });
--- a/src/apps/gateway/partcrashexchange.h
+++ b/src/apps/gateway/partcrashexchange.h
@@ -40,6 +40,9 @@
     /** Counts possible crashes of an upstream that another process found to be down. */
     void onUpstreamReported(std::string_view generation);
 
+    /** Withdraws the possible crashes of an upstream that was silent and has gone on. */
+    void onSilenceEnded(const std::string& generation);
+
     /** Merges what another gateway tells. */
     void onNotice(const Wire::SuspectNotice& notice);
 
--- a/src/libs/quarantine/promptpartregistry.cpp
+++ b/src/libs/quarantine/promptpartregistry.cpp
@@ -135,6 +135,14 @@
     return raised;
 }
 
+bool PromptPartRegistry::withdrawGeneration(std::string_view generation)
+{
+    return std::erase_if(this->records, [generation](const auto& entry) {
+        return entry.second.certainty == CrashCertainty::Possible
+            && SuspectRegistry::generationOf(entry.first) == generation;
+    }) > 0;
+}
+
 std::vector<PartCrash> PromptPartRegistry::confirmEnded(
     const std::function<bool(std::string_view generation)>& hasCrashed)
 {
--- a/src/libs/quarantine/promptpartregistry.h
+++ b/src/libs/quarantine/promptpartregistry.h
@@ -38,6 +38,12 @@
      */
     std::vector<PartCrash> suspectGeneration(std::string_view generation);
 
+    /**
+     * Removes the possible crashes of a generation, which was silent and has gone on.
+     * @return whether there were any.
+     */
+    bool withdrawGeneration(std::string_view generation);
+
     /**
      * Confirms the crashes whose generations have ended.
      * @param hasCrashed returns whether a generation has ended without having said that it leaves.
--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -367,6 +367,7 @@
     visitor("withdrawn", m.withdrawn);
     visitor("partCrashes", m.partCrashes);
     visitor("partCompletions", m.partCompletions);
+    visitor("partWithdrawn", m.partWithdrawn);
 }
 
 template <typename V> void visit(V&& visitor, MessageOf<Offer> auto& m)
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -100,6 +100,8 @@
     std::vector<PartCrashNotice> partCrashes {};
     /** Completions of parts that occur in crashes. */
     std::vector<PartCompletionNotice> partCompletions {};
+    /** Generations that were silent and have gone on, so that their possible crashes of parts did not happen. */
+    std::vector<std::string> partWithdrawn {};
 };
 
 /** Reports that an upstream failed at the sender, so that other gateways can eject it before they fail there too. */
--- a/tests/auto/quarantine/tst_promptpartregistry.cpp
+++ b/tests/auto/quarantine/tst_promptpartregistry.cpp
@@ -176,6 +176,16 @@
     CHECK_TRUE(this->isRefused({ cause }));
 }
 
+TEST(PromptPartRegistry, anUpstreamThatWasSilentAndGoesOnHasNotCrashed)
+{
+    this->crash({ cause }, CrashCertainty::Possible);
+    CHECK_FALSE(this->registry.withdrawGeneration("u/2"));
+    CHECK_TRUE(this->registry.withdrawGeneration("u/1"));
+    UNSIGNED_LONGS_EQUAL(0, this->registry.suspectGeneration("u/1").size());
+    this->crash({ cause });
+    CHECK_FALSE(this->registry.withdrawGeneration("u/2"));
+}
+
 TEST(PromptPartRegistry, whatEndedLongBeforeACrashWasNotRunningAtIt)
 {
     for (int i = 0; i < 4; ++i) {
--- a/tests/auto/wire/tst_codec.cpp
+++ b/tests/auto/wire/tst_codec.cpp
@@ -118,6 +118,7 @@
     SuspectNotice notice;
     notice.partCrashes = { { "u/1", Quarantine::CrashCertainty::Suspected, 150, 20, { 1, ~0ull } } };
     notice.partCompletions = { { 7, 30 } };
+    notice.partWithdrawn = { "u/2" };
     const SuspectNotice decoded = roundTrip(notice);
     STRCMP_EQUAL("u/1", decoded.partCrashes.at(0).crash.c_str());
     CHECK_TRUE(decoded.partCrashes.at(0).certainty == Quarantine::CrashCertainty::Suspected);
@@ -126,6 +127,7 @@
     CHECK_TRUE(decoded.partCrashes.at(0).parts == std::vector<std::uint64_t>({ 1, ~0ull }));
     UNSIGNED_LONGS_EQUAL(7, decoded.partCompletions.at(0).part);
     LONGS_EQUAL(30, decoded.partCompletions.at(0).ageMs);
+    STRCMP_EQUAL("u/2", decoded.partWithdrawn.at(0).c_str());
 }
 
 TEST(Codec, preservesSuspects)
