Do not recycle the libcurl handle of a call that failed

What a caller saw: a request that must run once got 502 after 0 ms and was never sent, and its upstream was named as crashed (610) and ejected.

Cause: when a reused connection breaks, libcurl notes that the body must be rewound before it sends the call again. If the new connection is refused or the call is cancelled first, the note stays with the handle; curl_easy_reset() does not clear it. HttpTransfers gave the handle to a later call. If that call forbids resending, its body cannot be rewound, and libcurl fails it before it is sent. Any call may inherit the note from any other, so it also strikes callers of sound upstreams.

Change: only handles of calls that libcurl has completed are used again. Setting up a handle costs more than a short call, so handles of complete calls are still kept.

aCallAfterOneWhoseResendWasRefusedIsSent failed on the code before with the same message (build/release/bin/tst_platform -g HttpTransfers) and passes; tst_platform 20 of 20. The cost of new handles after cancelled calls was not measured.

--- a/src/libs/platform/httptransfers.cpp
+++ b/src/libs/platform/httptransfers.cpp
@@ -519,7 +519,9 @@
         deliverResult(transfer, code);
         curl_multi_remove_handle(this->multi, transfer.easy.get());
         const auto found = this->active.find(transfer.id);
-        this->idleHandles.push_back(std::move(found->second->easy));
+        // curl_easy_reset() does not clear what libcurl has noted for a resend that did not begin.
+        if (code == CURLE_OK)
+            this->idleHandles.push_back(std::move(found->second->easy));
         this->active.erase(found);
     }
 
--- a/tests/auto/platform/tst_httptransfers.cpp
+++ b/tests/auto/platform/tst_httptransfers.cpp
@@ -199,6 +199,24 @@
     CHECK_TRUE(server.call("GET", Resend::Allowed).outcome == CallOutcome::Broken);
 }
 
+TEST(HttpTransfers, aCallAfterOneWhoseResendWasRefusedIsSent)
+{
+    DisconnectingServer server;
+    const std::uint16_t port = unusedPort();
+    Web::HttpServer other { server.context, { "127.0.0.1", port, 1'000'000 },
+        [](const std::shared_ptr<Web::HttpExchange>& exchange) {
+            exchange->respond({ 200, "text/plain", {}, exchange->request().body });
+        } };
+    other.start([](const std::string&) {});
+    CHECK_TRUE(server.call("GET", Resend::Allowed).isSuccess());
+    server.endsWithNextRequest = true;
+    CHECK_TRUE(server.call("POST", Resend::Allowed, "body").outcome == CallOutcome::Broken);
+    server.port = port;
+    const HttpCallResult result = server.call("POST", Resend::Never, "body");
+    STRCMP_EQUAL("", result.error.c_str());
+    STRCMP_EQUAL("body", result.body.c_str());
+}
+
 TEST(HttpTransfers, anAnswerThatEndsInItsHeadIsBroken)
 {
     RawServer server("HTTP/1.1 200 OK\r\nX-Response-Signature: signed\r\n");
