Give the run of a parked attempt back when its upstream rejects the request late

What callers saw: the first upstream of a call fell silent and then rejected the call as not run, the second one broke, and the caller got 502 although the call had run once of two times and a third upstream was free.

Cause: the run that was counted when the attempt was parked stayed counted. No check is changed.

--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -395,6 +395,9 @@
     const bool isSuccess
         = isValidAnswer(decoded, head.status) && !decoded.isNotExecuted && head.status < firstServerErrorStatus;
     if (!isCurrent && !(isSuccess && this->resumeParkedAttempt(attemptNumber))) {
+        const bool isParked = this->parked && this->parked->number == attemptNumber;
+        if (isParked && decoded.isNotExecuted && decoded.belongsToRequest)
+            --this->runs;
         this->onLateData(attemptNumber);
         return;
     }
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -8,6 +8,8 @@
 #include <asio.hpp>
 #include <nlohmann/json.hpp>
 
+#include <array>
+
 using namespace Gateway;
 using namespace std::chrono_literals;
 
@@ -373,6 +375,34 @@
     UNSIGNED_LONGS_EQUAL(2, this->startedRequestCount());
 }
 
+TEST(GatewayTest, aLateRejectionOfASilentUpstreamLeavesItsRunToAnotherOne)
+{
+    StandinUpstream upstreamThree { this->context, "three", unusedPort() };
+    upstreamThree.start();
+    this->store.put("keyed.servers", "three", upstreamThree.entry("app"));
+    this->startGateway("app");
+    const std::array<StandinUpstream*, 3> upstreams { &this->upstreamOne, &this->upstreamTwo, &upstreamThree };
+    const auto startedCount
+        = [&] { return std::ranges::count_if(upstreams, [](const auto* u) { return !u->startedRequests.empty(); }); };
+    const auto setOthers = [&](UpstreamBehaviour behaviour) {
+        for (StandinUpstream* const upstream : upstreams) {
+            if (upstream->startedRequests.empty())
+                upstream->behaviour = behaviour;
+        }
+    };
+    for (StandinUpstream* const upstream : upstreams)
+        upstream->silence = 500ms;
+    setOthers(UpstreamBehaviour::RejectAfterSilence);
+    const auto answer = std::make_shared<Answer>();
+    this->send("/patient/x", answer);
+    CHECK_TRUE(this->runUntil([&] { return startedCount() == 1; }));
+    setOthers(UpstreamBehaviour::CloseAfterSilence);
+    CHECK_TRUE(this->runUntil([&] { return startedCount() == 2; }));
+    setOthers(UpstreamBehaviour::Answer);
+    CHECK_TRUE(this->runUntil([&] { return answer->isFinished; }));
+    LONGS_EQUAL(200, answer->result.status);
+}
+
 // A call fails over after 250 ms, before its connection attempt ends.
 TEST(GatewayTest, aCallThatHasNotConnectedIsNoCrashAfterItsFailover)
 {
