Refuse a prompt whose first event would come after its caller leaves

Cause: PromptQueue::schedule compares the time left with the wait in the queue and with the shortest possible prefill, but not with the expected time of the first event at the engine it chooses.

Change: such a prompt is refused at once, as not run. A stream that has begun is still sent, since a refusal would cut it.

--- a/src/libs/placement/promptqueue.cpp
+++ b/src/libs/placement/promptqueue.cpp
@@ -30,6 +30,14 @@
 // The fraction of their time that engines spend on prefill; they also decode meanwhile.
 constexpr double prefillTimeFraction = 0.75;
 
+// An engine may take twice as long as expected, but a longer delay is spread over more work and is estimated better.
+constexpr Duration firstEventUncertainty = std::chrono::milliseconds(100);
+
+Duration latestFirstEvent(const PromptPlacement& placement)
+{
+    return placement.timeToFirstEvent + std::min(placement.timeToFirstEvent, firstEventUncertainty);
+}
+
 Duration scaled(Duration duration, double factor)
 {
     return Foundation::fromSeconds(Foundation::toSeconds(duration) * factor);
@@ -109,6 +117,11 @@
         }
         const Duration fastest = minimumTimeToFirstEvent(this->engineModel, prompt.demand.promptTokens, engineCount);
         const auto placement = actions.place(prompt);
+        if (placement && !prompt.hasBegun && now + latestFirstEvent(*placement) > prompt.callerTimeoutAt) {
+            this->remove(prompt.id);
+            actions.refuse(prompt.id, ResultCode::DeadlineUnreachable, std::max(retryAfter, prompt.firstEventTarget));
+            continue;
+        }
         if (placement && this->decide(prompt, *placement, fastest) == Decision::Dispatch) {
             this->remove(prompt.id);
             actions.dispatch(prompt.id, *placement);
--- a/tests/auto/placement/tst_promptqueue.cpp
+++ b/tests/auto/placement/tst_promptqueue.cpp
@@ -364,6 +364,26 @@
     CHECK_TRUE(this->retryAfter >= 3s);
 }
 
+TEST(PromptQueueTest, aPromptWhoseFirstEventWouldComeAfterItsCallerLeavesIsRefusedInsteadOfSent)
+{
+    const TimePoint now = TimePoint {} + 10s;
+    QueuedPrompt prompt = queuedPrompt(1, 1'000, 200ms, 250ms, now);
+    prompt.callerTimeoutAt = now + 2s;
+    prompt.maximumWaitPastTarget = 1'800ms;
+    this->queue.add(prompt);
+    this->place = [](const QueuedPrompt&) { return std::nullopt; };
+    this->schedule(now + 1'800ms);
+    CHECK_TRUE(this->refused.empty());
+    this->place = [](const QueuedPrompt&) {
+        PromptPlacement placement;
+        placement.timeToFirstEvent = 130ms;
+        return placement;
+    };
+    this->schedule(now + 1'906ms);
+    CHECK_TRUE(this->dispatched.empty());
+    CHECK_TRUE(this->refused == std::vector<QueuedPromptId>({ 1 }));
+}
+
 TEST(PromptQueueTest, aStreamThatHasBegunIsNotRefusedBehindLongPromptsThatWait)
 {
     const TimePoint now = TimePoint {} + 10s;
