--- a/src/libs/placement/promptqueue.cpp
+++ b/src/libs/placement/promptqueue.cpp
@@ -117,17 +117,16 @@
         }
         const Duration fastest = minimumTimeToFirstEvent(this->engineModel, prompt.demand.promptTokens, engineCount);
         const auto placement = actions.place(prompt);
-        if (placement && !prompt.hasBegun && now + latestFirstEvent(*placement) > prompt.callerTimeoutAt) {
-            this->remove(prompt.id);
-            actions.refuse(prompt.id, ResultCode::DeadlineUnreachable, std::max(retryAfter, prompt.firstEventTarget));
-            continue;
-        }
-        if (placement && this->decide(prompt, *placement, fastest) == Decision::Dispatch) {
+        // A stream that has begun is sent also late, since a refusal would cut it.
+        const bool isInTime
+            = placement && (prompt.hasBegun || now + latestFirstEvent(*placement) <= prompt.callerTimeoutAt);
+        if (isInTime && this->decide(prompt, *placement, fastest) == Decision::Dispatch) {
             this->remove(prompt.id);
             actions.dispatch(prompt.id, *placement);
             continue;
         }
-        if (prompt.demand.timeToFirstEventTarget + prompt.maximumWaitPastTarget < fastest) {
+        const bool isTooLate = placement && !isInTime && prompt.demand.timeToFirstEventTarget <= Duration::zero();
+        if (isTooLate || prompt.demand.timeToFirstEventTarget + prompt.maximumWaitPastTarget < fastest) {
             // The prompt can no longer meet its target, and no engine has room for it at an acceptable cost. An early
             // refusal spares the caller a useless wait. No placement was found within the target, so a retry much
             // sooner than that is unlikely to succeed.
