Take an end inside a resumed stream's first event as a crash, and let suspects leave doubtful upstreams

A resumed run that ended in order inside its first event counted as a possible crash only, as one that is empty does; it is a broken one again.

--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -678,7 +678,8 @@
             "upstream=" + this->attempt->assignment.upstreamGeneration + " error=" + defect
                 + " partial_event_bytes=" + std::to_string(this->events.partialEvent().size()));
         // A stream that is resumed after its last event is empty, so an orderly end before another one is no crash.
-        const bool mayBeWhole = isWhole && this->hasStreamBegun && this->attempt->isPrefilling;
+        const bool mayBeWhole
+            = isWhole && this->hasStreamBegun && this->attempt->isPrefilling && !this->events.isInsideEvent();
         this->recordCrash(
             mayBeWhole ? Quarantine::CrashCertainty::Possible : Quarantine::CrashCertainty::Suspected, "broken");
         this->closeAttempt(mayBeWhole ? Observation::Failed : Observation::Broken);
@@ -985,11 +986,13 @@
     if (now < this->attempt->failoverNotBefore)
         return;
     // Silence is too little to run a suspect elsewhere.
-    const bool isSuspect = this->context.suspects.status(this->fingerprint) != Quarantine::QuarantineStatus::Clear;
+    const bool isDoubtful = this->isUpstreamDoubtful(*this->attempt);
+    const bool isSuspect
+        = !isDoubtful && this->context.suspects.status(this->fingerprint) != Quarantine::QuarantineStatus::Clear;
     const FailoverAction action
         = isSuspect ? FailoverAction::Fail : Relay::chooseFailoverAction(this->progressAfter(RunOutcome::MayHaveRun));
     const Relay::SilentAttempt silent { now - this->attempt->lastDataAt, this->expectedSilence(*this->attempt),
-        this->inactivityTimeout(*this->attempt), this->isUpstreamDoubtful(*this->attempt), action };
+        this->inactivityTimeout(*this->attempt), isDoubtful, action };
     const Relay::SilenceDecision decision = Relay::decideOnSilence(
         silent, [this] { return this->context.dispatcher.hasRoom(this->makeNextPrompt()); },
         [this, now] { return this->context.retryBudget.trySpend(this->criteria.service, now); });
