--- a/tests/auto/platform/tst_httptransfers.cpp
+++ b/tests/auto/platform/tst_httptransfers.cpp
@@ -167,10 +167,10 @@
     CHECK_TRUE(result.isRefused);
 }
 
-// The system does not even try to connect to the broadcast address.
+// The system does not even try to connect to the broadcast address of the loopback network.
 TEST(HttpTransfers, aConnectionThatTheAddressHasNotRefusedIsNotReportedAsRefused)
 {
-    const HttpCallResult result = callUnavailableServer("255.255.255.255:9");
+    const HttpCallResult result = callUnavailableServer("127.255.255.255:9");
     CHECK_TRUE(result.outcome == CallOutcome::NotConnected);
     CHECK_FALSE(result.isRefused);
 }
