Keep a parked attempt open as long as its request, unless its upstream has ended

What callers saw: a call that takes longer than its target failed over, its first attempt was cancelled 2 s beyond the target although its listed upstream was at work, the second one was not done at the deadline, and the caller got 504 for an answer that would have come in time.

Cause, the one of the incident again: the silence that only suggests a crash (crashSilence) ended the parked attempt. The rule for attempts that are kept, that silence alone ends none, held for the current attempt only. Change: the crash is suspected and the upstream ejected as before, once; the attempt ends only if its upstream is doubtful, as decideOnSilence has it.

No check is changed; the fixture's callers may wait longer, and there is a route with a long timeout.

--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -637,10 +637,16 @@
 {
     if (!this->parked || now - this->parked->attempt.lastDataAt < this->crashSilence(this->parked->attempt))
         return;
+    if (!std::exchange(this->parked->attempt.isCrashRecorded, true)) {
+        this->recordCrash(this->parked->attempt, Quarantine::CrashCertainty::Suspected, "silent");
+        this->recordObservation(this->parked->attempt.assignment.upstreamGeneration, Observation::Silent);
+    }
+    // A listed upstream may only be slow.
+    if (!this->isUpstreamDoubtful(this->parked->attempt))
+        return;
     const ParkedAttempt ended = std::move(*this->parked);
     this->parked.reset();
-    this->recordCrash(ended.attempt, Quarantine::CrashCertainty::Suspected, "silent");
-    this->releaseAttempt(ended.attempt, Observation::Silent);
+    this->releaseAttempt(ended.attempt, std::nullopt);
 }
 
 void ProxiedRequest::onCallEnded(std::uint64_t attemptNumber, const Platform::HttpCallResult& result)
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -98,7 +98,7 @@
     bool isWatched = false;
     /** Whether it was logged why the attempt is kept although its upstream is silent. */
     bool isKeptLogged = false;
-    /** Whether a crash was recorded although the attempt is kept. */
+    /** Whether a crash was recorded although the attempt is kept or parked. */
     bool isCrashRecorded = false;
 
     /** Returns whether the upstream has stated that it does not run the request. */
@@ -168,7 +168,7 @@
     void parkSilentAttempt();
     /** Gives the parked attempt up; its call is watched to see whether its upstream goes on. */
     void dropParkedAttempt();
-    /** Records the end of the parked attempt's upstream if it has been silent for too long. */
+    /** Suspects a crash if the parked attempt's upstream is silent for too long; ends the attempt if that has ended. */
     void checkParkedAttempt(Foundation::TimePoint now);
     void onStreamData(std::string_view data);
     /** Stops reading a stream whose caller receives it more slowly than it arrives. */
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -25,6 +25,8 @@
                     { "timeout_ms", 1900 }, { "goal_ms", 850 }, { "service", "app" }, { "max_attempts", 2 } },
                 { { "name", "patient" }, { "host", "h" }, { "path_prefix", "/patient/" }, { "type", "safe" },
                     { "timeout_ms", 2000 }, { "goal_ms", 100 }, { "service", "app" }, { "max_attempts", 2 } },
+                { { "name", "long" }, { "host", "h" }, { "path_prefix", "/long/" }, { "type", "safe" },
+                    { "timeout_ms", 4500 }, { "goal_ms", 100 }, { "service", "app" }, { "max_attempts", 2 } },
                 { { "name", "unsafe" }, { "host", "h" }, { "path_prefix", "/unsafe/" }, { "type", "unsafe" },
                     { "timeout_ms", 900 }, { "goal_ms", 100 }, { "service", "app" }, { "max_attempts", 1 } },
                 { { "name", "stream" }, { "host", "h" }, { "path_prefix", "/stream/" }, { "type", "streaming" },
@@ -90,6 +92,8 @@
     std::string document = makeDocument(1, { "key" });
     int lastRequestNumber = 0;
     int promptTokens = 1'000;
+    /** How long the callers wait. */
+    std::chrono::milliseconds callerTimeout { 2'000 };
     /** The prompt parts of the calls; none if empty. */
     std::string promptParts;
 
@@ -133,9 +137,9 @@
         Platform::HttpCall call;
         call.method = method;
         call.url = "http://127.0.0.1:" + std::to_string(this->gatewayPort) + path;
-        call.headers
-            = { "Host: h", "X-Attempt-Id: r" + std::to_string(++this->lastRequestNumber), "X-Deadline-Ms: 2000",
-                  "Authorization: Token " + key, "X-Token-Usage: " + std::to_string(this->promptTokens) + ",50" };
+        call.headers = { "Host: h", "X-Attempt-Id: r" + std::to_string(++this->lastRequestNumber),
+            "X-Deadline-Ms: " + std::to_string(this->callerTimeout.count()), "Authorization: Token " + key,
+            "X-Token-Usage: " + std::to_string(this->promptTokens) + ",50" };
         if (!this->promptParts.empty())
             call.headers.push_back("X-Prefix-Hash: " + this->promptParts);
         call.body = method == "POST" ? "body" : "";
@@ -170,6 +174,12 @@
         return *answer;
     }
 
+    /** Returns an upstream that has not begun to run a request. */
+    StandinUpstream& otherUpstream()
+    {
+        return this->upstreamOne.startedRequests.empty() ? this->upstreamOne : this->upstreamTwo;
+    }
+
     std::size_t startedRequestCount() const
     {
         return this->upstreamOne.startedRequests.size() + this->upstreamTwo.startedRequests.size();
@@ -429,6 +439,20 @@
     CHECK_TRUE(this->core.renderMetrics().find("bluebell_suspects_total") == std::string::npos);
 }
 
+TEST(GatewayTest, aCallWhoseFirstUpstreamIsSlowIsNotLostByItsFailover)
+{
+    this->callerTimeout = 5s;
+    this->startGateway("app");
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::AnswerAfterSilence;
+    this->upstreamOne.silence = this->upstreamTwo.silence = 2'600ms;
+    const auto answer = std::make_shared<Answer>();
+    this->send("/long/x", answer);
+    CHECK_TRUE(this->runUntil([this] { return this->startedRequestCount() == 1; }));
+    this->otherUpstream().behaviour = UpstreamBehaviour::NeverAnswer;
+    CHECK_TRUE(this->runUntil([&] { return answer->isFinished; }));
+    LONGS_EQUAL(200, answer->result.status);
+}
+
 TEST(GatewayTest, aStreamThatCannotBeResumedEndsAsBroken)
 {
     this->startGateway("llm");
