Stop watching a silent upstream 350 ms after the end of its request

What upstreams saw: a request that was answered elsewhere, or whose deadline had passed, stayed open at its silent upstream for up to 2 s more, also after its caller had closed its connection, which the gateway does not see any more by then.

Cause: the watch that tells silence from a crash had a limit of its own and none by its request; only a caller that left before the answer ended it. Change: the end of a request limits its watched attempts to 350 ms. What is undecided then stays a possible crash, which the list or a refused connection confirms, as it is after a caller has left.

No check is changed.

--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -284,8 +284,11 @@
 
 void GatewayCore::checkWatchedAttempts()
 {
-    for (const Quarantine::WatchedAttempt& attempt : this->silenceWatch.takeOverdue(this->clock.now()))
+    const TimePoint now = this->clock.now();
+    for (const Quarantine::WatchedAttempt& attempt : this->silenceWatch.takeOverdue(now))
         this->onSilentCrash(attempt);
+    for (const Quarantine::WatchedAttempt& attempt : this->silenceWatch.takeUndecided(now))
+        this->transfers.cancel(attempt.call);
 }
 
 void GatewayCore::confirmCrashes()
--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -37,6 +37,9 @@
 constexpr Duration minimumCallInactivityTimeout = std::chrono::milliseconds(250);
 // After a failover that found no other upstream, the next one waits as long as the shortest silence that causes one.
 constexpr Duration failoverRepeatInterval = minimumCallInactivityTimeout;
+// Upstreams must not work on a request for longer than half a second after its caller has closed its connection, and
+// callers may do so as soon as they have an answer.
+constexpr Duration watchTimeAfterRequest = std::chrono::milliseconds(350);
 // When callers may retry after a refusal, if there is no better estimate.
 constexpr Duration defaultRetryAfter = std::chrono::milliseconds(400);
 // Other processes accept requests while this one shuts down, so callers may retry almost at once.
@@ -950,6 +953,8 @@
     if (this->hasEnded)
         return;
     this->dropParkedAttempt();
+    for (const auto& [number, call] : this->watchedCalls)
+        this->context.silenceWatch.limit(call, this->context.clock.now() + watchTimeAfterRequest);
     this->hasEnded = true;
     if (this->queuedPromptId != 0)
         this->context.dispatcher.withdraw(this->queuedPromptId);
--- a/src/libs/quarantine/silencewatch.cpp
+++ b/src/libs/quarantine/silencewatch.cpp
@@ -1,5 +1,6 @@
 #include "silencewatch.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Quarantine {
@@ -44,6 +45,13 @@
     return taken;
 }
 
+void SilenceWatch::limit(std::uint64_t call, Foundation::TimePoint watchedUntil)
+{
+    const auto found = this->attempts.find(call);
+    if (found != this->attempts.end())
+        found->second.watchedUntil = std::min(found->second.watchedUntil, watchedUntil);
+}
+
 std::vector<WatchedAttempt> SilenceWatch::takeGeneration(std::string_view generation)
 {
     return takeIf(
@@ -55,4 +63,10 @@
     return takeIf(this->attempts, [now](const WatchedAttempt& attempt) { return now >= attempt.countsFrom; });
 }
 
+std::vector<WatchedAttempt> SilenceWatch::takeUndecided(Foundation::TimePoint now)
+{
+    return takeIf(this->attempts,
+        [now](const WatchedAttempt& attempt) { return now >= attempt.watchedUntil && now < attempt.countsFrom; });
+}
+
 } // namespace Quarantine
--- a/src/libs/quarantine/silencewatch.h
+++ b/src/libs/quarantine/silencewatch.h
@@ -22,6 +22,8 @@
     CrashNotice notice;
     /** From then on the upstream has been silent for longer than a sound one. */
     Foundation::TimePoint countsFrom {};
+    /** From then on the attempt is not watched any more, since its request has ended. */
+    Foundation::TimePoint watchedUntil = Foundation::TimePoint::max();
 };
 
 /**
@@ -36,12 +38,18 @@
     /** Stops watching an attempt. @return none if it is not watched. */
     std::optional<WatchedAttempt> take(std::uint64_t call);
 
+    /** Watches an attempt no longer than until the given time; ignores attempts that are not watched. */
+    void limit(std::uint64_t call, Foundation::TimePoint watchedUntil);
+
     /** Stops watching all attempts at a generation, which has gone on. */
     std::vector<WatchedAttempt> takeGeneration(std::string_view generation);
 
     /** Stops watching the attempts whose upstreams have been silent for too long. */
     std::vector<WatchedAttempt> takeOverdue(Foundation::TimePoint now);
 
+    /** Stops watching the attempts whose time has ended before it was known whether their upstreams go on. */
+    std::vector<WatchedAttempt> takeUndecided(Foundation::TimePoint now);
+
     std::size_t size() const { return this->attempts.size(); }
 
 private:
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -180,6 +180,8 @@
         return this->upstreamOne.startedRequests.empty() ? this->upstreamOne : this->upstreamTwo;
     }
 
+    int abandonedCallCount() const { return this->upstreamOne.abandonedCalls + this->upstreamTwo.abandonedCalls; }
+
     std::size_t startedRequestCount() const
     {
         return this->upstreamOne.startedRequests.size() + this->upstreamTwo.startedRequests.size();
@@ -453,6 +455,27 @@
     LONGS_EQUAL(200, answer->result.status);
 }
 
+TEST(GatewayTest, aSilentUpstreamDoesNotGoOnWithACallThatWasAnsweredElsewhere)
+{
+    this->startGateway("app");
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::NeverAnswer;
+    const auto answer = std::make_shared<Answer>();
+    this->send("/patient/x", answer);
+    CHECK_TRUE(this->runUntil([this] { return this->startedRequestCount() == 1; }));
+    this->otherUpstream().behaviour = UpstreamBehaviour::Answer;
+    CHECK_TRUE(this->runUntil([&] { return answer->isFinished; }));
+    LONGS_EQUAL(200, answer->result.status);
+    CHECK_TRUE(this->runUntil([this] { return this->abandonedCallCount() == 1; }, 500ms));
+}
+
+TEST(GatewayTest, aSilentUpstreamDoesNotGoOnWithACallWhoseDeadlineHasPassed)
+{
+    this->startGateway("app");
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::NeverAnswer;
+    LONGS_EQUAL(504, this->call("/safe/x").result.status);
+    CHECK_TRUE(this->runUntil([this] { return this->abandonedCallCount() == 2; }, 500ms));
+}
+
 TEST(GatewayTest, aStreamThatCannotBeResumedEndsAsBroken)
 {
     this->startGateway("llm");
--- a/tests/auto/quarantine/tst_silencewatch.cpp
+++ b/tests/auto/quarantine/tst_silencewatch.cpp
@@ -36,6 +36,26 @@
     UNSIGNED_LONGS_EQUAL(0, this->watch.size());
 }
 
+TEST(SilenceWatch, anAttemptWhoseRequestHasEndedIsNotWatchedUntilItsUpstreamCountsAsCrashed)
+{
+    this->add(1, "u/1");
+    this->add(2, "u/1");
+    this->watch.limit(1, this->now + 350ms);
+    CHECK_TRUE(this->watch.takeUndecided(this->now + 300ms).empty());
+    const auto undecided = this->watch.takeUndecided(this->now + 350ms);
+    UNSIGNED_LONGS_EQUAL(1, undecided.size());
+    UNSIGNED_LONGS_EQUAL(1, undecided.at(0).call);
+    UNSIGNED_LONGS_EQUAL(1, this->watch.size());
+}
+
+TEST(SilenceWatch, aLimitedAttemptWhoseUpstreamIsSilentForTooLongCountsAsCrashed)
+{
+    this->add(1, "u/1");
+    this->watch.limit(1, this->now + 1'900ms);
+    CHECK_TRUE(this->watch.takeUndecided(this->now + 2s).empty());
+    UNSIGNED_LONGS_EQUAL(1, this->watch.takeOverdue(this->now + 2s).size());
+}
+
 TEST(SilenceWatch, theNumberOfWatchedAttemptsIsBounded)
 {
     std::uint64_t call = 0;
