Spend no retry on a failover of a silent call that no other upstream can take

What callers saw: while the only upstream of six calls was silent, each call failed over every 250 ms, found no other upstream, returned to its silent one, and had spent a unit of the retry budget each time. A call that broke off afterwards got 502, since no retry was left for it, although another upstream was there by then.

Cause: decideOnSilence asked for room elsewhere only for streams that have begun; a call cannot wait in a queue either. If its own upstream has ended, it ends, as before. Prompts wait in the queue beside their parked attempt as before.

No check is changed.

--- a/src/apps/gateway/dispatcher.cpp
+++ b/src/apps/gateway/dispatcher.cpp
@@ -99,7 +99,7 @@
     return healthy.empty() ? listed : healthy;
 }
 
-std::optional<Assignment> Dispatcher::assignCall(const UpstreamCriteria& criteria)
+const Upstream* Dispatcher::chooseUpstream(const UpstreamCriteria& criteria)
 {
     const TimePoint now = this->clock.now();
     const Upstream* chosen = nullptr;
@@ -117,9 +117,15 @@
             lowestCost = cost;
         }
     }
+    return chosen;
+}
+
+std::optional<Assignment> Dispatcher::assignCall(const UpstreamCriteria& criteria)
+{
+    const Upstream* const chosen = this->chooseUpstream(criteria);
     if (!chosen)
         return std::nullopt;
-    this->coldStartLimiter.countRequest(chosen->generationId(), now);
+    this->coldStartLimiter.countRequest(chosen->generationId(), this->clock.now());
     Placement::DispatchedRequest request;
     request.upstream = chosen->entry.id;
     return Assignment { chosen->entry.id, chosen->generationId(), chosen->entry.address, {},
@@ -211,8 +217,8 @@
 
 bool Dispatcher::hasRoom(const PendingPrompt& pending)
 {
-    if (!this->queues.contains(pending.criteria.service))
-        return true;
+    if (!this->isEngineService(pending.criteria.service))
+        return this->chooseUpstream(pending.criteria) != nullptr;
     const TimePoint now = this->clock.now();
     Placement::QueuedPrompt prompt = pending.prompt;
     prompt.demand.weight = Placement::promptWeight(prompt.demand.promptTokens);
--- a/src/apps/gateway/dispatcher.h
+++ b/src/apps/gateway/dispatcher.h
@@ -95,8 +95,8 @@
     Placement::QueuedPromptId enqueue(PendingPrompt pending);
 
     /**
-     * Returns whether an engine could begin to answer a prompt before its caller times out; true for services without
-     * engines. Must not be called while the queues are scheduled.
+     * Returns whether an engine could begin to answer a prompt before its caller times out, or, for a service without
+     * engines, whether an upstream could be assigned now. Must not be called while the queues are scheduled.
      */
     bool hasRoom(const PendingPrompt& pending);
 
@@ -117,6 +117,8 @@
     bool canUseLastSlots(const Membership::Upstream& upstream) const;
     /** Returns whether the cold-start limit of the upstream, if it is cold, allows another request now. */
     bool isWithinColdStartLimit(const Membership::Upstream& upstream, Foundation::TimePoint now);
+    /** Returns the least loaded upstream that can accept a request without a prompt now; null if there is none. */
+    const Membership::Upstream* chooseUpstream(const UpstreamCriteria& criteria);
     std::optional<Placement::PromptPlacement> place(
         const Placement::QueuedPrompt& prompt, const PendingPrompt& pending);
     void dispatch(Placement::QueuedPromptId id, const Placement::PromptPlacement& placement);
--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -1003,7 +1003,8 @@
     const FailoverAction action
         = isSuspect ? FailoverAction::Fail : Relay::chooseFailoverAction(this->progressAfter(RunOutcome::MayHaveRun));
     const Relay::SilentAttempt silent { now - this->attempt->lastDataAt, this->expectedSilence(*this->attempt),
-        this->inactivityTimeout(*this->attempt), isDoubtful, action };
+        this->inactivityTimeout(*this->attempt), isDoubtful, action,
+        this->context.dispatcher.isEngineService(this->criteria.service) };
     const Relay::SilenceDecision decision = Relay::decideOnSilence(
         silent, [this] { return this->context.dispatcher.hasRoom(this->makeNextPrompt()); },
         [this, now] { return this->context.retryBudget.trySpend(this->criteria.service, now); });
--- a/src/libs/relay/silencedecision.h
+++ b/src/libs/relay/silencedecision.h
@@ -48,6 +48,8 @@
     bool isUpstreamDoubtful = false;
     /** How the request goes on if the attempt ends. */
     FailoverAction failover = FailoverAction::Fail;
+    /** Whether the request can wait in a queue until another upstream has room. */
+    bool canQueue = true;
 };
 
 struct SilenceDecision {
@@ -59,7 +61,7 @@
 
 /**
  * Decides what to do about a silent attempt. Silence alone never ends an attempt that cannot go on elsewhere.
- * @param hasRoom returns whether an upstream could resume the stream in time.
+ * @param hasRoom returns whether another upstream could take the request now, or resume the stream in time.
  * @param spendRetry takes a unit of the retry budget and returns whether there was one.
  */
 template <std::predicate HasRoom, std::predicate SpendRetry>
@@ -70,10 +72,12 @@
         return { SilenceAction::Wait, KeepReason::None };
     const bool hasEnded
         = attempt.isUpstreamDoubtful && attempt.silence >= std::max(attempt.expectedSilence, longestSoundSilence);
+    // A stream that has begun waits in the queue only if nothing else can continue it.
+    const bool mustHaveRoom = !attempt.canQueue || (attempt.failover == FailoverAction::Resume && !hasEnded);
     KeepReason reason = KeepReason::None;
     if (attempt.failover == FailoverAction::Fail)
         reason = KeepReason::MustNotRunAgain;
-    else if (attempt.failover == FailoverAction::Resume && !hasEnded && !hasRoom())
+    else if (mustHaveRoom && !hasRoom())
         reason = KeepReason::NoRoomElsewhere;
     else if (!spendRetry())
         reason = KeepReason::RetryBudgetSpent;
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -455,6 +455,31 @@
     LONGS_EQUAL(200, answer->result.status);
 }
 
+TEST(GatewayTest, aFailoverThatFindsNoOtherUpstreamSpendsNoRetry)
+{
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::NeverAnswer;
+    this->startGateway("app");
+    this->store.removeKey("keyed.servers", "two");
+    this->runFor(800ms);
+    std::vector<std::shared_ptr<Answer>> silentCalls;
+    for (int i = 0; i < 6; ++i) {
+        silentCalls.push_back(std::make_shared<Answer>());
+        this->send("/patient/" + std::to_string(i), silentCalls.back());
+    }
+    CHECK_TRUE(this->runUntil(
+        [&] { return std::ranges::all_of(silentCalls, [](const auto& call) { return call->isFinished; }); }));
+    this->store.put("keyed.servers", "two", this->upstreamTwo.entry("app"));
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::CloseBeforeAnswer;
+    this->upstreamOne.startedRequests.clear();
+    this->runFor(800ms);
+    const auto answer = std::make_shared<Answer>();
+    this->send("/safe/x", answer);
+    CHECK_TRUE(this->runUntil([this] { return this->startedRequestCount() == 1; }));
+    this->otherUpstream().behaviour = UpstreamBehaviour::Answer;
+    CHECK_TRUE(this->runUntil([&] { return answer->isFinished; }));
+    LONGS_EQUAL(200, answer->result.status);
+}
+
 TEST(GatewayTest, aSilentUpstreamDoesNotGoOnWithACallThatWasAnsweredElsewhere)
 {
     this->startGateway("app");
--- a/tests/auto/relay/tst_silencedecision.cpp
+++ b/tests/auto/relay/tst_silencedecision.cpp
@@ -46,6 +46,27 @@
         == (SilenceDecision { SilenceAction::Keep, KeepReason::NoRoomElsewhere }));
 }
 
+TEST(SilenceDecisionTest, aSilentCallThatNoOtherUpstreamCanTakeSpendsNoRetry)
+{
+    int spentRetries = 0;
+    const auto spend = [&spentRetries] { return ++spentRetries > 0; };
+    SilentAttempt attempt = makeAttempt(5s, false, FailoverAction::Retry);
+    attempt.canQueue = false;
+    CHECK_TRUE(
+        decideOnSilence(attempt, no, spend) == (SilenceDecision { SilenceAction::Keep, KeepReason::NoRoomElsewhere }));
+    LONGS_EQUAL(0, spentRetries);
+    CHECK_TRUE(decideOnSilence(attempt, yes, spend).action == SilenceAction::FailOver);
+    LONGS_EQUAL(1, spentRetries);
+    attempt.isUpstreamDoubtful = true;
+    CHECK_TRUE(decideOnSilence(attempt, no, spend).action == SilenceAction::End);
+}
+
+TEST(SilenceDecisionTest, aSilentPromptWithoutRoomElsewhereWaitsInTheQueue)
+{
+    CHECK_TRUE(
+        decideOnSilence(makeAttempt(5s, false, FailoverAction::Retry), no, yes).action == SilenceAction::FailOver);
+}
+
 TEST(SilenceDecisionTest, aSilentAttemptWithoutRetryBudgetIsKept)
 {
     CHECK_TRUE(decideOnSilence(makeAttempt(5s, false, FailoverAction::Retry), yes, no)
