Let each silent attempt of a request be served when its upstream goes on

What callers saw, on routes with three attempts: the first upstream fell silent, then the second; the second one went on and its answer was cancelled as late, the first and the third never answered, and the caller got 504.

Cause: one attempt could be parked. The second silent one was only watched, so what it sent was a sign of life and no answer. Change: a list of parked attempts; any of them resumes. If the current attempt fails, the request returns to the one that was heard from last. The first event that is delivered still ends all others, so no pieces of two runs are joined.

No check is changed; there is a route with three attempts.

--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -3,6 +3,9 @@
 #include <foundation/identifier.h>
 #include <foundation/logging.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace Gateway {
 
 namespace {
@@ -398,8 +401,7 @@
     const bool isSuccess
         = isValidAnswer(decoded, head.status) && !decoded.isNotExecuted && head.status < firstServerErrorStatus;
     if (!isCurrent && !(isSuccess && this->resumeParkedAttempt(attemptNumber))) {
-        const bool isParked = this->parked && this->parked->number == attemptNumber;
-        if (isParked && decoded.isNotExecuted && decoded.belongsToRequest)
+        if (this->findParkedAttempt(attemptNumber) && decoded.isNotExecuted && decoded.belongsToRequest)
             --this->runs;
         this->onLateData(attemptNumber);
         return;
@@ -515,7 +517,7 @@
 
 void ProxiedRequest::recordFirstEvent()
 {
-    this->dropParkedAttempt();
+    this->dropParkedAttempts();
     if (!this->attempt->isPrefilling)
         return;
     this->attempt->isPrefilling = false;
@@ -531,11 +533,9 @@
 
 void ProxiedRequest::onLateData(std::uint64_t attemptNumber)
 {
-    if (this->parked && this->parked->number == attemptNumber) {
-        const ParkedAttempt late = std::move(*this->parked);
-        this->parked.reset();
-        this->releaseAttempt(late.attempt, std::nullopt);
-        this->context.onSilenceEnded(late.attempt.assignment.upstreamGeneration);
+    if (const auto late = this->takeParkedAttempt(attemptNumber)) {
+        this->releaseAttempt(late->attempt, std::nullopt);
+        this->context.onSilenceEnded(late->attempt.assignment.upstreamGeneration);
         return;
     }
     const auto found = this->watchedCalls.find(attemptNumber);
@@ -551,11 +551,9 @@
 
 void ProxiedRequest::onLateBreak(std::uint64_t attemptNumber)
 {
-    if (this->parked && this->parked->number == attemptNumber) {
-        const ParkedAttempt broken = std::move(*this->parked);
-        this->parked.reset();
-        this->recordCrash(broken.attempt, Quarantine::CrashCertainty::Suspected, "broken");
-        this->releaseAttempt(broken.attempt, Observation::Broken);
+    if (const auto broken = this->takeParkedAttempt(attemptNumber)) {
+        this->recordCrash(broken->attempt, Quarantine::CrashCertainty::Suspected, "broken");
+        this->releaseAttempt(broken->attempt, Observation::Broken);
         return;
     }
     const auto found = this->watchedCalls.find(attemptNumber);
@@ -569,12 +567,10 @@
 
 void ProxiedRequest::onLateNotConnected(std::uint64_t attemptNumber, Observation observation)
 {
-    if (this->parked && this->parked->number == attemptNumber) {
-        const ParkedAttempt unconnected = std::move(*this->parked);
-        this->parked.reset();
+    if (const auto unconnected = this->takeParkedAttempt(attemptNumber)) {
         --this->runs;
-        this->withdrawAnnouncement(unconnected.attempt);
-        this->releaseAttempt(unconnected.attempt, observation);
+        this->withdrawAnnouncement(unconnected->attempt);
+        this->releaseAttempt(unconnected->attempt, observation);
         return;
     }
     const auto found = this->watchedCalls.find(attemptNumber);
@@ -590,27 +586,45 @@
     this->recordObservation(watched->generation, observation);
 }
 
+const ParkedAttempt* ProxiedRequest::findParkedAttempt(std::uint64_t attemptNumber) const
+{
+    const auto found = std::ranges::find(this->parkedAttempts, attemptNumber, &ParkedAttempt::number);
+    return found == this->parkedAttempts.end() ? nullptr : &*found;
+}
+
+std::optional<ParkedAttempt> ProxiedRequest::takeParkedAttempt(std::uint64_t attemptNumber)
+{
+    const auto found = std::ranges::find(this->parkedAttempts, attemptNumber, &ParkedAttempt::number);
+    if (found == this->parkedAttempts.end())
+        return std::nullopt;
+    ParkedAttempt taken = std::move(*found);
+    this->parkedAttempts.erase(found);
+    return taken;
+}
+
 bool ProxiedRequest::resumeParkedAttempt(std::uint64_t attemptNumber)
 {
-    if (this->hasEnded || !this->parked || this->parked->number != attemptNumber)
+    if (this->hasEnded || !this->findParkedAttempt(attemptNumber))
         return false;
-    this->returnToParkedAttempt();
+    this->returnToParkedAttempt(attemptNumber);
     this->context.onSilenceEnded(this->attempt->assignment.upstreamGeneration);
     return true;
 }
 
-void ProxiedRequest::returnToParkedAttempt()
+void ProxiedRequest::returnToParkedAttempt(std::uint64_t attemptNumber)
 {
+    std::optional<ParkedAttempt> resumed = this->takeParkedAttempt(attemptNumber);
+    if (!resumed)
+        return;
     if (this->queuedPromptId != 0)
         this->context.dispatcher.withdraw(this->queuedPromptId);
     this->queuedPromptId = 0;
     if (this->attempt && this->attempt->call != 0 && !this->attempt->isRejected())
         ++this->runs;
     this->closeAttempt(std::nullopt);
-    this->attempt = std::move(this->parked->attempt);
-    this->events = std::move(this->parked->events);
-    this->currentAttemptNumber = this->parked->number;
-    this->parked.reset();
+    this->attempt = std::move(resumed->attempt);
+    this->events = std::move(resumed->events);
+    this->currentAttemptNumber = resumed->number;
     // Its run counts when it ends.
     --this->runs;
     this->attempt->failoverNotBefore = this->context.clock.now() + failoverRepeatInterval;
@@ -619,37 +633,40 @@
 void ProxiedRequest::parkSilentAttempt()
 {
     const std::string generation = this->attempt->assignment.upstreamGeneration;
-    this->parked = ParkedAttempt { this->currentAttemptNumber, std::move(*this->attempt), this->events };
+    this->parkedAttempts.push_back({ this->currentAttemptNumber, std::move(*this->attempt), this->events });
     this->attempt.reset();
     this->currentAttemptNumber = ++this->lastAttemptNumber;
     this->recordObservation(generation, Observation::Silent);
     this->criteria.triedGenerations.insert(generation);
 }
 
-void ProxiedRequest::dropParkedAttempt()
+void ProxiedRequest::dropParkedAttempts()
 {
-    if (!this->parked)
-        return;
-    ParkedAttempt dropped = std::move(*this->parked);
-    this->parked.reset();
-    this->watchSilentAttempt(dropped.attempt, dropped.number);
-    this->releaseAttempt(dropped.attempt, std::nullopt);
+    std::vector<ParkedAttempt> droppedAttempts = std::exchange(this->parkedAttempts, {});
+    for (ParkedAttempt& dropped : droppedAttempts) {
+        this->watchSilentAttempt(dropped.attempt, dropped.number);
+        this->releaseAttempt(dropped.attempt, std::nullopt);
+    }
 }
 
-void ProxiedRequest::checkParkedAttempt(TimePoint now)
+void ProxiedRequest::checkParkedAttempts(TimePoint now)
 {
-    if (!this->parked || now - this->parked->attempt.lastDataAt < this->crashSilence(this->parked->attempt))
-        return;
-    if (!std::exchange(this->parked->attempt.isCrashRecorded, true)) {
-        this->recordCrash(this->parked->attempt, Quarantine::CrashCertainty::Suspected, "silent");
-        this->recordObservation(this->parked->attempt.assignment.upstreamGeneration, Observation::Silent);
+    std::vector<std::uint64_t> endedNumbers;
+    for (ParkedAttempt& parked : this->parkedAttempts) {
+        if (now - parked.attempt.lastDataAt < this->crashSilence(parked.attempt))
+            continue;
+        if (!std::exchange(parked.attempt.isCrashRecorded, true)) {
+            this->recordCrash(parked.attempt, Quarantine::CrashCertainty::Suspected, "silent");
+            this->recordObservation(parked.attempt.assignment.upstreamGeneration, Observation::Silent);
+        }
+        // A listed upstream may only be slow.
+        if (this->isUpstreamDoubtful(parked.attempt))
+            endedNumbers.push_back(parked.number);
+    }
+    for (const std::uint64_t number : endedNumbers) {
+        if (const auto ended = this->takeParkedAttempt(number))
+            this->releaseAttempt(ended->attempt, std::nullopt);
     }
-    // A listed upstream may only be slow.
-    if (!this->isUpstreamDoubtful(this->parked->attempt))
-        return;
-    const ParkedAttempt ended = std::move(*this->parked);
-    this->parked.reset();
-    this->releaseAttempt(ended.attempt, std::nullopt);
 }
 
 void ProxiedRequest::onCallEnded(std::uint64_t attemptNumber, const Platform::HttpCallResult& result)
@@ -658,12 +675,12 @@
     const bool isWhole = result.outcome == Platform::CallOutcome::Complete;
     const Observation unconnectedObservation = result.isRefused ? Observation::Refused : Observation::Unreachable;
     // The other attempt goes on if the answer of the parked one has a defect.
-    const bool isParked = this->parked && this->parked->number == attemptNumber;
-    const bool isDefective = isParked && !findDefect(result, this->parked->attempt, this->parked->events).empty();
+    const ParkedAttempt* const parked = this->findParkedAttempt(attemptNumber);
+    const bool isDefective = parked && !findDefect(result, parked->attempt, parked->events).empty();
     if (!isCurrent && !(isWhole && !isDefective && this->resumeParkedAttempt(attemptNumber))) {
         // An upstream that ends an answer in order has gone on. A stream that is resumed after its last event is empty.
-        const bool mayBeEmpty = isDefective && this->hasStreamBegun && this->parked->attempt.isPrefilling
-            && !this->parked->events.isInsideEvent();
+        const bool mayBeEmpty
+            = isDefective && this->hasStreamBegun && parked->attempt.isPrefilling && !parked->events.isInsideEvent();
         if (isWhole && (!isDefective || mayBeEmpty))
             this->onLateData(attemptNumber);
         else if (result.outcome == Platform::CallOutcome::NotConnected)
@@ -895,8 +912,11 @@
     if (this->hasEnded)
         return;
     const auto& entry = Foundation::resultCodeEntry(code);
-    if (this->parked) {
-        this->returnToParkedAttempt();
+    if (!this->parkedAttempts.empty()) {
+        // The upstream that was heard from last is the most likely one to go on.
+        const auto latest = std::ranges::max_element(
+            this->parkedAttempts, {}, [](const ParkedAttempt& parked) { return parked.attempt.lastDataAt; });
+        this->returnToParkedAttempt(latest->number);
         logEvent(Event::AttemptSilent, this->request.id,
             "upstream=" + this->attempt->assignment.upstreamGeneration + " reason=the other attempt failed code="
                 + std::string(entry.name) + " runs=" + std::to_string(this->runs));
@@ -939,7 +959,7 @@
     if (this->attempt)
         this->recordUnansweredAttempt("caller left");
     this->closeAttempt(std::nullopt);
-    this->dropParkedAttempt();
+    this->dropParkedAttempts();
     // Upstreams must not go on with a request whose caller has left.
     for (const auto& [number, call] : this->watchedCalls) {
         if (this->context.silenceWatch.take(call))
@@ -952,7 +972,7 @@
 {
     if (this->hasEnded)
         return;
-    this->dropParkedAttempt();
+    this->dropParkedAttempts();
     for (const auto& [number, call] : this->watchedCalls)
         this->context.silenceWatch.limit(call, this->context.clock.now() + watchTimeAfterRequest);
     this->hasEnded = true;
@@ -967,7 +987,7 @@
     if (this->hasEnded || !this->route)
         return;
     if (now >= this->deadline) {
-        this->dropParkedAttempt();
+        this->dropParkedAttempts();
         const bool isRunning = this->attempt && !this->attempt->isRejected();
         const bool mayHaveRun = isRunning || this->runs > 0;
         if (isRunning) {
@@ -980,7 +1000,7 @@
         this->fail(mayHaveRun ? ResultCode::DeadlineExceeded : ResultCode::DeadlineUnreachable, defaultRetryAfter);
         return;
     }
-    this->checkParkedAttempt(now);
+    this->checkParkedAttempts(now);
     if (!this->attempt || this->attempt->isPaused)
         return;
     if (this->attempt->isRejected()) {
@@ -1017,7 +1037,7 @@
     const bool failsOver = decision.action == SilenceAction::FailOver;
     this->recordUnansweredAttempt(failsOver ? "silent" : "upstream ended");
     // Memory that is reserved elsewhere is not kept for an answer that may not come.
-    const bool canPark = failsOver && !this->parked && this->attempt->memoryReservation == 0;
+    const bool canPark = failsOver && this->attempt->memoryReservation == 0;
     if (canPark) {
         this->parkSilentAttempt();
     } else {
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -26,6 +26,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Gateway {
 
@@ -158,18 +159,21 @@
     /** Handles that an earlier attempt has not reached its upstream, so it has not run. */
     void onLateNotConnected(std::uint64_t attemptNumber, Relay::Observation observation);
     /**
-     * Continues with the parked attempt if it is the given one and its upstream serves the request.
+     * Continues with the given attempt if it is parked; its upstream serves the request.
      * Returns whether it is the current attempt now.
      */
     bool resumeParkedAttempt(std::uint64_t attemptNumber);
-    /** Continues with the parked attempt, whose upstream may still go on. Ends the other attempt. */
-    void returnToParkedAttempt();
+    /** Continues with a parked attempt, whose upstream may still go on. Ends the current attempt. */
+    void returnToParkedAttempt(std::uint64_t attemptNumber);
+    const ParkedAttempt* findParkedAttempt(std::uint64_t attemptNumber) const;
+    /** Removes a parked attempt from the list and returns it; none if there is none with this number. */
+    std::optional<ParkedAttempt> takeParkedAttempt(std::uint64_t attemptNumber);
     /** Sets the current attempt aside, so that its answer can still be used if its upstream goes on soon. */
     void parkSilentAttempt();
-    /** Gives the parked attempt up; its call is watched to see whether its upstream goes on. */
-    void dropParkedAttempt();
-    /** Suspects a crash if the parked attempt's upstream is silent for too long; ends the attempt if that has ended. */
-    void checkParkedAttempt(Foundation::TimePoint now);
+    /** Gives the parked attempts up; their calls are watched to see whether their upstreams go on. */
+    void dropParkedAttempts();
+    /** Suspects crashes of the parked attempts' upstreams after too long a silence; ends attempts at ended ones. */
+    void checkParkedAttempts(Foundation::TimePoint now);
     void onStreamData(std::string_view data);
     /** Stops reading a stream whose caller receives it more slowly than it arrives. */
     void pauseForSlowCaller();
@@ -253,7 +257,7 @@
     /** 0 while the request is not queued. */
     Placement::QueuedPromptId queuedPromptId = 0;
     std::optional<Attempt> attempt;
-    std::optional<ParkedAttempt> parked;
+    std::vector<ParkedAttempt> parkedAttempts;
     /** Identifies the current attempt, so that callbacks of earlier ones are ignored. */
     std::uint64_t currentAttemptNumber = 0;
     std::uint64_t lastAttemptNumber = 0;
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -27,6 +27,8 @@
                     { "timeout_ms", 2000 }, { "goal_ms", 100 }, { "service", "app" }, { "max_attempts", 2 } },
                 { { "name", "long" }, { "host", "h" }, { "path_prefix", "/long/" }, { "type", "safe" },
                     { "timeout_ms", 4500 }, { "goal_ms", 100 }, { "service", "app" }, { "max_attempts", 2 } },
+                { { "name", "thrice" }, { "host", "h" }, { "path_prefix", "/thrice/" }, { "type", "safe" },
+                    { "timeout_ms", 2000 }, { "goal_ms", 100 }, { "service", "app" }, { "max_attempts", 3 } },
                 { { "name", "unsafe" }, { "host", "h" }, { "path_prefix", "/unsafe/" }, { "type", "unsafe" },
                     { "timeout_ms", 900 }, { "goal_ms", 100 }, { "service", "app" }, { "max_attempts", 1 } },
                 { { "name", "stream" }, { "host", "h" }, { "path_prefix", "/stream/" }, { "type", "streaming" },
@@ -455,6 +457,34 @@
     LONGS_EQUAL(200, answer->result.status);
 }
 
+TEST(GatewayTest, aSecondSilentUpstreamThatGoesOnServesItsCall)
+{
+    StandinUpstream upstreamThree { this->context, "three", unusedPort() };
+    upstreamThree.start();
+    this->store.put("keyed.servers", "three", upstreamThree.entry("app"));
+    this->startGateway("app");
+    const std::array<StandinUpstream*, 3> upstreams { &this->upstreamOne, &this->upstreamTwo, &upstreamThree };
+    const auto startedCount
+        = [&] { return std::ranges::count_if(upstreams, [](const auto* u) { return !u->startedRequests.empty(); }); };
+    const auto setOthers = [&](UpstreamBehaviour behaviour) {
+        for (StandinUpstream* const upstream : upstreams) {
+            if (upstream->startedRequests.empty())
+                upstream->behaviour = behaviour;
+        }
+    };
+    for (StandinUpstream* const upstream : upstreams)
+        upstream->silence = 600ms;
+    setOthers(UpstreamBehaviour::NeverAnswer);
+    const auto answer = std::make_shared<Answer>();
+    this->send("/thrice/x", answer);
+    CHECK_TRUE(this->runUntil([&] { return startedCount() == 1; }));
+    setOthers(UpstreamBehaviour::AnswerAfterSilence);
+    CHECK_TRUE(this->runUntil([&] { return startedCount() == 2; }));
+    setOthers(UpstreamBehaviour::NeverAnswer);
+    CHECK_TRUE(this->runUntil([&] { return answer->isFinished; }));
+    LONGS_EQUAL(200, answer->result.status);
+}
+
 TEST(GatewayTest, aFailoverThatFindsNoOtherUpstreamSpendsNoRetry)
 {
     this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::NeverAnswer;
