Keep the disconnect of a caller when an earlier exchange is released late

What callers saw: a caller that keeps its connection and leaves during its next request was not seen to leave. The upstream went on with that request up to its deadline (GONE).

Cause: the registry of exchanges had one entry a connection, and the end of an exchange removed the entry whichever exchange it named. A request whose silent attempt is watched for up to two seconds after its answer is released that late, and removed the entry of the next request on the connection.

Change: exchanges are registered by connection and number of the request.

Evidence: found by reading. theLateReleaseOfAnExchangeDoesNotHideThatTheCallerOfTheNextOneLeaves failed before: tst_httpserver.cpp:75: error: Failure in TEST(HttpServerTest, theLateReleaseOfAnExchange...) CHECK_TRUE(this->runUntil([&] { return hasLeft; })) failed and passes now. Not covered: two requests that a caller sends without waiting for an answer; RESTinio reads nothing more of such a connection until the first is answered, so its close is seen only then.

--- a/src/libs/web/httpserver.cpp
+++ b/src/libs/web/httpserver.cpp
@@ -6,6 +6,8 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <utility>
+#include <vector>
 
 namespace Web {
 
@@ -21,35 +23,43 @@
 
 class RestinioExchange;
 
-// Maps connections to the exchanges in progress, to find the exchange of a connection that was closed.
+// The connection of an exchange and the number of its request on it.
+using ExchangeId = std::pair<restinio::connection_id_t, restinio::request_id_t>;
+
+ExchangeId idOf(const restinio::request_t& request) { return { request.connection_id(), request.request_id() }; }
+
+// Finds the exchanges in progress on a connection that was closed. An exchange that was answered may be released after
+// the next one on its connection has begun.
 class ExchangeRegistry {
 public:
-    void add(restinio::connection_id_t connection, const std::shared_ptr<RestinioExchange>& exchange)
+    void add(const ExchangeId& id, const std::shared_ptr<RestinioExchange>& exchange)
     {
         const std::lock_guard lock(this->mutex);
-        this->exchanges[connection] = exchange;
+        this->exchanges[id] = exchange;
     }
 
-    void remove(restinio::connection_id_t connection)
+    void remove(const ExchangeId& id)
     {
         const std::lock_guard lock(this->mutex);
-        this->exchanges.erase(connection);
+        this->exchanges.erase(id);
     }
 
-    std::shared_ptr<RestinioExchange> take(restinio::connection_id_t connection)
+    std::vector<std::shared_ptr<RestinioExchange>> takeAll(restinio::connection_id_t connection)
     {
         const std::lock_guard lock(this->mutex);
-        const auto found = this->exchanges.find(connection);
-        if (found == this->exchanges.end())
-            return nullptr;
-        auto exchange = found->second.lock();
-        this->exchanges.erase(found);
-        return exchange;
+        std::vector<std::shared_ptr<RestinioExchange>> taken;
+        auto next = this->exchanges.lower_bound({ connection, 0 });
+        while (next != this->exchanges.end() && next->first.first == connection) {
+            if (auto exchange = next->second.lock())
+                taken.push_back(std::move(exchange));
+            next = this->exchanges.erase(next);
+        }
+        return taken;
     }
 
 private:
     std::mutex mutex;
-    std::map<restinio::connection_id_t, std::weak_ptr<RestinioExchange>> exchanges;
+    std::map<ExchangeId, std::weak_ptr<RestinioExchange>> exchanges;
 };
 
 // Counts the bytes of a chunked response that wait to be sent. Outlives the exchange while a write is in progress.
@@ -93,7 +103,7 @@
         this->readRequest();
     }
 
-    ~RestinioExchange() override { this->registry->remove(this->source->connection_id()); }
+    ~RestinioExchange() override { this->registry->remove(idOf(*this->source)); }
 
     const HttpRequest& request() const override { return this->parsed; }
 
@@ -212,7 +222,7 @@
     void unregister()
     {
         this->progress->setHandler(nullptr);
-        this->registry->remove(this->source->connection_id());
+        this->registry->remove(idOf(*this->source));
         const std::lock_guard lock(this->disconnectMutex);
         this->disconnectHandler = nullptr;
     }
@@ -241,7 +251,7 @@
     {
         if (!restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause()))
             return;
-        if (const auto exchange = this->registry->take(notice.connection_id()))
+        for (const auto& exchange : this->registry->takeAll(notice.connection_id()))
             exchange->handleDisconnect();
     }
 
@@ -275,7 +285,7 @@
     const auto registry = std::make_shared<ExchangeRegistry>();
     auto onRequest = [registry, handler = std::move(handler)](restinio::request_handle_t request) {
         const auto exchange = std::make_shared<RestinioExchange>(request, registry);
-        registry->add(request->connection_id(), exchange);
+        registry->add(idOf(*request), exchange);
         handler(exchange);
         return restinio::request_accepted();
     };
--- /dev/null
+++ b/tests/auto/web/tst_httpserver.cpp
@@ -0,0 +1,91 @@
+#include "../unusedport.h"
+
+#include <web/httpserver.h>
+
+#include <CppUTest/TestHarness.h>
+#include <asio.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace {
+
+constexpr auto testTimeout = std::chrono::seconds(5);
+constexpr const char* request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+} // namespace
+
+/** A server that keeps its exchanges open, and a caller that keeps its connection. */
+TEST_GROUP(HttpServerTest)
+{
+    asio::io_context context { 1 };
+    std::uint16_t port = unusedPort();
+    std::vector<std::shared_ptr<Web::HttpExchange>> exchanges;
+    Web::HttpServer server { this->context, { "127.0.0.1", this->port, 1'000'000 },
+        [this](const std::shared_ptr<Web::HttpExchange>& exchange) { this->exchanges.push_back(exchange); } };
+    asio::ip::tcp::socket caller { this->context };
+    std::string received;
+
+    void setup() override
+    {
+        this->server.start([](const std::string&) {});
+        this->runUntil([this] {
+            asio::error_code error;
+            this->caller.connect({ asio::ip::make_address("127.0.0.1"), this->port }, error);
+            return !error;
+        });
+    }
+
+    template <typename Condition> bool runUntil(Condition condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + testTimeout;
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            this->context.run_one_for(std::chrono::milliseconds(5));
+        return condition();
+    }
+
+    /** Sends the bytes and waits until the server has this many exchanges. */
+    void send(const std::string& bytes, std::size_t exchangeCount)
+    {
+        asio::write(this->caller, asio::buffer(bytes));
+        CHECK_TRUE(this->runUntil([&] { return this->exchanges.size() == exchangeCount; }));
+    }
+
+    void readAnswer()
+    {
+        bool isRead = false;
+        asio::async_read_until(this->caller, asio::dynamic_buffer(this->received), "answer",
+            [&](const asio::error_code& error, std::size_t) { isRead = !error; });
+        CHECK_TRUE(this->runUntil([&] { return isRead; }));
+        this->received.clear();
+    }
+};
+
+TEST(HttpServerTest, theLateReleaseOfAnExchangeDoesNotHideThatTheCallerOfTheNextOneLeaves)
+{
+    this->send(request, 1);
+    this->exchanges[0]->respond({ 200, "text/plain", {}, "answer" });
+    this->readAnswer();
+    this->send(request, 2);
+    bool hasLeft = false;
+    this->exchanges[1]->setDisconnectHandler([&] { hasLeft = true; });
+    this->exchanges[0].reset();
+    this->caller.close();
+    CHECK_TRUE(this->runUntil([&] { return hasLeft; }));
+}
+
+TEST(HttpServerTest, anAnsweredExchangeIsNotToldThatItsCallerLeaves)
+{
+    this->send(request, 1);
+    bool hasLeft = false;
+    this->exchanges[0]->setDisconnectHandler([&] { hasLeft = true; });
+    this->exchanges[0]->respond({ 200, "text/plain", {}, "answer" });
+    this->readAnswer();
+    this->send(request, 2);
+    bool hasNextLeft = false;
+    this->exchanges[1]->setDisconnectHandler([&] { hasNextLeft = true; });
+    this->caller.close();
+    CHECK_TRUE(this->runUntil([&] { return hasNextLeft; }));
+    CHECK_FALSE(hasLeft);
+}
