Count the suspects of watched attempts in bluebell_suspects_total

A request whose call is watched after its end became a suspect in the log (event 610) and not in the metric, so tests and pages that read the metric saw none. Found by a test that expected a suspect's count. The counter rises where the watched attempt becomes a suspect.

--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -275,6 +275,7 @@
     CrashNotice notice = attempt.notice;
     notice.certainty = CrashCertainty::Suspected;
     if (this->suspects.record(notice)) {
+        this->metrics.counter("bluebell_suspects_total", "ending=\"silent\"").fetch_add(1);
         this->logSuspect(notice, "silent");
         this->onOwnSuspects({ notice });
     }
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -336,6 +336,16 @@
     CHECK_TRUE(this->core.renderMetrics().find("bluebell_suspects_total") == std::string::npos);
 }
 
+TEST(GatewayTest, aCallAtAnUpstreamThatSendsNothingElseIsASuspect)
+{
+    this->startGateway("app");
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::NeverAnswer;
+    LONGS_EQUAL(504, this->call("/unsafe/x", "POST").result.status);
+    CHECK_TRUE(this->core.renderMetrics().find("bluebell_suspects_total") == std::string::npos);
+    CHECK_TRUE(this->runUntil(
+        [this] { return this->core.renderMetrics().find("bluebell_suspects_total") != std::string::npos; }));
+}
+
 TEST(GatewayTest, aLateRejectionOfASilentUpstreamDoesNotEndTheAttemptAtAnotherUpstream)
 {
     this->startGateway("llm");
