Vary more moments, bodies, connections and settings in the scenarios of silence

One request in ten that is not sent alike has a body of 600 KB. Half of the safe calls have a body, so that they may use a kept connection without being sent again by libcurl. A gateway gets a change and a SIGHUP, or only one of them.

Checks are unchanged.

--- a/tests/standins/pausingupstream.cpp
+++ b/tests/standins/pausingupstream.cpp
@@ -37,6 +37,12 @@
     {
     }
 
+    void start()
+    {
+        this->upstream.onMoment(AnswerMoment::Accepting);
+        this->continueAfterPause(this->timer, &Connection::readRequest);
+    }
+
     void readRequest()
     {
         asio::async_read_until(this->socket, this->received, "\r\n\r\n",
@@ -86,6 +92,12 @@
         this->idleTimer.cancel();
         std::istream stream(&this->received);
         this->request = readRawRequest(stream);
+        this->upstream.onMoment(AnswerMoment::ReadingBody);
+        this->continueAfterPause(this->timer, &Connection::readBody);
+    }
+
+    void readBody()
+    {
         const std::size_t bodyBytes = this->request.bodyBytes();
         const std::size_t missing = bodyBytes - std::min(bodyBytes, this->received.size());
         asio::async_read(this->socket, this->received, asio::transfer_exactly(missing),
@@ -181,6 +193,7 @@
     : id(std::move(id))
     , runLog(runLog, this->id)
     , acceptor(context, { asio::ip::make_address("127.0.0.1"), port })
+    , acceptTimer(context)
     , pauseTimer(context)
 {
 }
@@ -199,8 +212,21 @@
             return;
         asio::error_code ignored;
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-        std::make_shared<Connection>(*this, std::move(socket))->readRequest();
+        std::make_shared<Connection>(*this, std::move(socket))->start();
+        this->acceptAfterPause();
+    });
+}
+
+void PausingUpstream::acceptAfterPause()
+{
+    if (std::chrono::steady_clock::now() >= this->pauseEnd) {
         this->accept();
+        return;
+    }
+    this->acceptTimer.expires_at(this->pauseEnd);
+    this->acceptTimer.async_wait([this](const asio::error_code& error) {
+        if (!error)
+            this->acceptAfterPause();
     });
 }
 
--- a/tests/standins/pausingupstream.h
+++ b/tests/standins/pausingupstream.h
@@ -13,8 +13,9 @@
 
 /**
  * Stand-in for a sound upstream in a process of its own that falls silent now and then: all its answers pause, new
- * requests are read only afterwards, and then everything goes on. The path of a request says how it is answered, see
- * TimedAnswer. Each run is a line of the run log when it begins, and another one when its answer is complete.
+ * connections and requests are read only afterwards, and then everything goes on. The path of a request says how it is
+ * answered, see TimedAnswer. Each run is a line of the run log when it begins, and another one when its answer is
+ * complete.
  *
  * The path /pause/MOMENT/MS makes the upstream fall silent when its next answer comes to the moment.
  */
@@ -38,6 +39,8 @@
     };
 
     void accept();
+    /** Accepts the next connection once the upstream has gone on. */
+    void acceptAfterPause();
     /** Plans the pause that a path asks for. Returns false if it asks for none. */
     bool planPause(const std::string& path);
     void onMoment(AnswerMoment moment);
@@ -46,6 +49,7 @@
     std::string id;
     RunLog runLog;
     asio::ip::tcp::acceptor acceptor;
+    asio::steady_timer acceptTimer;
     /** Begins a planned pause if no answer comes to its moment. */
     asio::steady_timer pauseTimer;
     std::optional<PlannedPause> plannedPause;
--- a/tests/standins/timedanswer.cpp
+++ b/tests/standins/timedanswer.cpp
@@ -62,7 +62,8 @@
 {
     const std::string framing = framingHeader(answer.framing, answer.body(firstEvent).size());
     std::vector<AnswerPart> parts;
-    parts.push_back({ answer.firstEventDelay / 2, AnswerMoment::BeforeHead, head + framing + "\r\n" });
+    parts.push_back({ answer.firstEventDelay / 2, AnswerMoment::BeforeHead, head.substr(0, head.size() / 2) });
+    parts.push_back({ partInterval, AnswerMoment::InsideHead, head.substr(head.size() / 2) + framing + "\r\n" });
     for (int event = firstEvent; event <= answer.events; ++event) {
         const std::string text = makeEvent(event);
         const bool isFirst = event == firstEvent;
--- a/tests/standins/timedanswer.h
+++ b/tests/standins/timedanswer.h
@@ -10,9 +10,14 @@
 #include <string_view>
 #include <vector>
 
-/** A moment of an answer. The parts of a call's body count as events. */
+/** A moment of a request or of its answer. The parts of a call's body count as events. */
 enum class AnswerMoment : std::uint8_t {
+    /** After a connection was accepted; the upstream accepts no other one meanwhile. */
+    Accepting,
+    /** Between the head of a request and its body. */
+    ReadingBody,
     BeforeHead,
+    InsideHead,
     /** Between the head and the first event. */
     AfterHead,
     InsideEvent,
--- a/tests/system/gatewayfleet.cpp
+++ b/tests/system/gatewayfleet.cpp
@@ -202,13 +202,14 @@
     this->gateways[index].lastDisturbance = std::chrono::steady_clock::now();
 }
 
-void GatewayFleet::reloadSettings(std::size_t index, int memoryMb)
+void GatewayFleet::changeSettings(std::size_t index, int memoryMb)
 {
     this->plan.gatewayMemoryMb = memoryMb;
     this->writeSettings(index);
-    this->gateways[index].process->signal(SIGHUP);
 }
 
+void GatewayFleet::sendHangup(std::size_t index) { this->gateways[index].process->signal(SIGHUP); }
+
 std::size_t GatewayFleet::pickRunningGateway(std::mt19937_64& generator) const
 {
     const std::size_t first = generator() % this->gateways.size();
--- a/tests/system/gatewayfleet.h
+++ b/tests/system/gatewayfleet.h
@@ -97,8 +97,11 @@
     void pauseGateway(std::size_t index);
     void resumeGateway(std::size_t index);
 
-    /** Writes the settings of a gateway with another memory limit, in MB, and tells it by SIGHUP to read them. */
-    void reloadSettings(std::size_t index, int memoryMb);
+    /** Writes the settings of a gateway with another memory limit, in MB. */
+    void changeSettings(std::size_t index, int memoryMb);
+
+    /** Sends a SIGHUP, after which a gateway reads its settings file. */
+    void sendHangup(std::size_t index);
 
     /** Returns one of the gateways that run; any if none does. */
     std::size_t pickRunningGateway(std::mt19937_64& generator) const;
--- a/tests/system/silencescenario.cpp
+++ b/tests/system/silencescenario.cpp
@@ -48,6 +48,9 @@
 constexpr Duration retryWindow = 10s;
 // Different requests that many callers send alike.
 constexpr int alikeContents = 12;
+// Every so many requests one has a body that no silent upstream takes as a whole.
+constexpr int longBodyInterval = 10;
+constexpr std::size_t longBodyBytes = 600'000;
 constexpr int suspectAddedEvent = 610;
 constexpr int loopDelayedEvent = 107;
 constexpr std::size_t longestExampleList = 4;
@@ -90,8 +93,14 @@
     if (!moment)
         return "anywhere";
     switch (*moment) {
+    case AnswerMoment::Accepting:
+        return "accepting";
+    case AnswerMoment::ReadingBody:
+        return "reading-body";
     case AnswerMoment::BeforeHead:
         return "before-head";
+    case AnswerMoment::InsideHead:
+        return "inside-head";
     case AnswerMoment::AfterHead:
         return "after-head";
     case AnswerMoment::InsideEvent:
@@ -248,12 +257,21 @@
         if (change == ConfigurationChange::Document || change == ConfigurationChange::DocumentAndSettings)
             this->putDocument();
         if (change == ConfigurationChange::Settings || change == ConfigurationChange::DocumentAndSettings) {
-            this->hasSmallMemory = !this->hasSmallMemory;
             for (std::size_t i = 0; i < this->fleet.gatewayCount(); ++i)
-                this->fleet.reloadSettings(i, this->hasSmallMemory ? 250 : 260);
+                this->changeSettings(i);
         }
     }
 
+    // A gateway may get a SIGHUP without a change, a change without a SIGHUP, or both.
+    void changeSettings(std::size_t gateway)
+    {
+        const int kind = this->draw(0, 3);
+        if (kind != 0)
+            this->fleet.changeSettings(gateway, this->draw(250, 260));
+        if (kind != 1)
+            this->fleet.sendHangup(gateway);
+    }
+
     void letCallersLeave(TimePoint now)
     {
         // Reads what has arrived, so that a caller does not leave because this process is slow.
@@ -300,8 +318,9 @@
         request->sentAt = now;
         request->lastEventAt = now;
         Platform::HttpCall call;
-        const bool hasBody = route.isStream || !route.isRepeatable;
-        call.method = hasBody ? "POST" : "GET";
+        const bool isPost = route.isStream || !route.isRepeatable;
+        call.method = isPost ? "POST" : "GET";
+        const bool hasBody = isPost || this->draw(0, 1) == 0;
         call.url = "http://"
             + this->fleet.gatewayAddress(
                 static_cast<std::size_t>(this->draw(0, static_cast<int>(this->fleet.gatewayCount()) - 1)))
@@ -309,8 +328,11 @@
         call.headers = { "Host: h", "X-Attempt-Id: " + id, "X-Deadline-Ms: " + std::to_string(route.deadline.count()),
             "Authorization: Token key", "X-Token-Usage: 1000,50" };
         call.body = hasBody ? content : "";
+        if (hasBody && !isAlike && this->draw(0, longBodyInterval - 1) == 0)
+            call.body.append(longBodyBytes, 'x');
         call.timeout = Duration(route.deadline) + 2 * answerAllowance;
-        // Half of the callers keep their connections for many requests.
+        // Half of the callers with a body keep their connections for many requests. A request without a body cannot be
+        // kept from being sent again on another connection.
         const bool isKept = hasBody && this->draw(0, 1) == 0;
         call.connectionUse = isKept ? Platform::ConnectionUse::Pooled : Platform::ConnectionUse::Dedicated;
         call.resend = Platform::Resend::Never;
@@ -458,7 +480,6 @@
     // The fleet starts with the first version.
     int documentVersion = 1;
     int documentsOfBurst = 0;
-    bool hasSmallMemory = false;
     bool isLoaded = false;
     TimePoint nextRequest {};
     TimePoint nextChange {};
@@ -478,7 +499,8 @@
     for (const auto change :
         { ConfigurationChange::None, ConfigurationChange::Document, ConfigurationChange::DocumentBurst,
             ConfigurationChange::Settings, ConfigurationChange::DocumentAndSettings }) {
-        for (const auto moment : { AnswerMoment::BeforeHead, AnswerMoment::AfterHead, AnswerMoment::InsideEvent,
+        for (const auto moment : { AnswerMoment::Accepting, AnswerMoment::ReadingBody, AnswerMoment::BeforeHead,
+                 AnswerMoment::InsideHead, AnswerMoment::AfterHead, AnswerMoment::InsideEvent,
                  AnswerMoment::BetweenEvents, AnswerMoment::BeforeEnd })
             scenarios.push_back({ change, moment });
         scenarios.push_back({ change, std::nullopt });
--- a/tests/system/silencescenario.h
+++ b/tests/system/silencescenario.h
@@ -17,7 +17,7 @@
     Document,
     /** Many documents within a second, now and then. */
     DocumentBurst,
-    /** The settings files, read after a SIGHUP. */
+    /** The settings files, with a SIGHUP, without one, or a SIGHUP alone. */
     Settings,
     DocumentAndSettings,
 };
@@ -25,7 +25,7 @@
 /** Sound upstreams that fall silent for about a second and go on, beside changes of the configuration. */
 struct SilenceScenario {
     ConfigurationChange change = ConfigurationChange::None;
-    /** Where an answer of the upstream has come to when it falls silent; any moment if none. */
+    /** Where a request has come to at an upstream that falls silent; any moment if none. */
     std::optional<AnswerMoment> moment;
     /** Whether there are twice as many requests, mostly streams, and all upstreams fall silent together. */
     bool isBusy = false;
