Count data on other connections as a sign of life of a silent upstream

What callers saw: a call that was slow but sound, more than 2 s beyond its target, made its request a suspect (event 610), and three of them a quarantined one (503), though the same upstream answered other requests all the while.

Cause: the silence of an attempt was judged by its own answer only. Half of an upstream's requests may be slow, or sit on a connection that went silent for good, while the others are answered.

Change: UpstreamHealth keeps when an answer of each generation last received data. An attempt's silence counts as a crash from 2 s after that at the earliest (Relay::crashSuspectedFrom): an upstream that has crashed sends nothing on any connection. The watch of an attempt whose upstream is alive ends with its call cancelled; its crash stays possible, so that the end of the upstream still counts. What came before a refused connection or the removal from the list is no sign of life, nor is an answer of another upstream at the address.

--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -286,8 +286,15 @@
 void GatewayCore::checkWatchedAttempts()
 {
     const TimePoint now = this->clock.now();
-    for (const Quarantine::WatchedAttempt& attempt : this->silenceWatch.takeOverdue(now))
-        this->onSilentCrash(attempt);
+    for (const Quarantine::WatchedAttempt& attempt : this->silenceWatch.takeOverdue(now)) {
+        const auto lastDataAt = this->health.lastDataAt(attempt.generation);
+        if (now >= Relay::crashSuspectedFrom(attempt.countsFrom, {}, lastDataAt)) {
+            this->onSilentCrash(attempt);
+            continue;
+        }
+        // The upstream is sound but slow. Its crash stays possible: it may have ended since it last sent data.
+        this->transfers.cancel(attempt.call);
+    }
     for (const Quarantine::WatchedAttempt& attempt : this->silenceWatch.takeUndecided(now))
         this->transfers.cancel(attempt.call);
 }
--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -406,8 +406,8 @@
         this->onLateData(attemptNumber);
         return;
     }
-    this->attempt->lastDataAt = this->context.clock.now();
     this->attempt->headers = std::move(decoded);
+    this->recordData();
     this->context.suspects.recordAnswer(this->attempt->assignment.upstreamGeneration);
     const auto& headers = this->attempt->headers;
     const int status = head.status;
@@ -430,7 +430,7 @@
         this->onLateData(attemptNumber);
         return;
     }
-    this->attempt->lastDataAt = this->context.clock.now();
+    this->recordData();
     if (this->attempt->isRejected()) {
         this->attempt->rejectionBytes += data.size();
         if (this->attempt->rejectionBytes > maximumRejectionBytes)
@@ -447,6 +447,13 @@
         this->onAnswerTooLarge();
 }
 
+void ProxiedRequest::recordData()
+{
+    this->attempt->lastDataAt = this->context.clock.now();
+    if (!this->attempt->headers.isMisaddressed)
+        this->context.health.recordData(this->attempt->assignment.upstreamGeneration, this->attempt->lastDataAt);
+}
+
 void ProxiedRequest::onAnswerTooLarge()
 {
     logEvent(Event::AttemptFinished, this->request.id,
@@ -653,7 +660,7 @@
 {
     std::vector<std::uint64_t> endedNumbers;
     for (ParkedAttempt& parked : this->parkedAttempts) {
-        if (now - parked.attempt.lastDataAt < this->crashSilence(parked.attempt))
+        if (now < this->crashSuspectedFrom(parked.attempt))
             continue;
         if (!std::exchange(parked.attempt.isCrashRecorded, true)) {
             this->recordCrash(parked.attempt, Quarantine::CrashCertainty::Suspected, "silent");
@@ -1051,19 +1058,20 @@
 
 void ProxiedRequest::keepSilentAttempt(Relay::KeepReason reason)
 {
-    const Duration silence = this->context.clock.now() - this->attempt->lastDataAt;
+    const TimePoint now = this->context.clock.now();
+    const Duration silence = now - this->attempt->lastDataAt;
     if (!std::exchange(this->attempt->isKeptLogged, true))
         logEvent(Event::AttemptSilent, this->request.id,
             "upstream=" + this->attempt->assignment.upstreamGeneration + " silent_ms=" + millisecondsText(silence)
                 + " reason=" + Relay::keepReasonText(reason));
-    if (silence >= this->crashSilence(*this->attempt) && !std::exchange(this->attempt->isCrashRecorded, true))
+    if (now >= this->crashSuspectedFrom(*this->attempt) && !std::exchange(this->attempt->isCrashRecorded, true))
         this->recordCrash(Quarantine::CrashCertainty::Suspected, "silent");
 }
 
 void ProxiedRequest::watchSilentAttempt(Attempt& silent, std::uint64_t number)
 {
     const std::optional<std::string> crash = this->crashName(silent);
-    const TimePoint countsFrom = silent.lastDataAt + this->crashSilence(silent);
+    const TimePoint countsFrom = this->crashSuspectedFrom(silent);
     const bool isDecided = !crash || this->context.clock.now() >= countsFrom;
     if (silent.call == 0 || silent.isRejected() || isDecided)
         return;
@@ -1079,11 +1087,12 @@
     // A call of 0 means that the attempt still reserves memory, so no upstream has received it.
     if (this->attempt->call == 0 || this->attempt->isRejected())
         return;
-    const Duration silence = this->context.clock.now() - this->attempt->lastDataAt;
+    const TimePoint now = this->context.clock.now();
+    const Duration silence = now - this->attempt->lastDataAt;
     logEvent(Event::AttemptFinished, this->request.id,
         "upstream=" + this->attempt->assignment.upstreamGeneration + " ending=" + std::string(ending)
             + " silent_ms=" + millisecondsText(silence) + " fingerprint=" + this->fingerprint);
-    const bool looksLikeCrash = silence >= this->crashSilence(*this->attempt);
+    const bool looksLikeCrash = now >= this->crashSuspectedFrom(*this->attempt);
     this->recordCrash(
         looksLikeCrash ? Quarantine::CrashCertainty::Suspected : Quarantine::CrashCertainty::Possible, ending);
 }
@@ -1103,6 +1112,15 @@
         || (silence >= this->expectedSilence(*this->attempt) && this->isUpstreamDoubtful(*this->attempt));
 }
 
+TimePoint ProxiedRequest::crashSuspectedFrom(const Attempt& silent) const
+{
+    // What a doubtful upstream sent before its end says nothing.
+    const auto lastUpstreamDataAt = this->isUpstreamDoubtful(silent)
+        ? std::nullopt
+        : this->context.health.lastDataAt(silent.assignment.upstreamGeneration);
+    return Relay::crashSuspectedFrom(silent.lastDataAt, this->crashSilence(silent), lastUpstreamDataAt);
+}
+
 Duration ProxiedRequest::crashSilence(const Attempt& silent) const
 {
     if (this->isUpstreamDoubtful(silent))
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -174,6 +174,8 @@
     void dropParkedAttempts();
     /** Suspects crashes of the parked attempts' upstreams after too long a silence; ends attempts at ended ones. */
     void checkParkedAttempts(Foundation::TimePoint now);
+    /** Records that the answer of the current attempt has received data. */
+    void recordData();
     void onStreamData(std::string_view data);
     /** Stops reading a stream whose caller receives it more slowly than it arrives. */
     void pauseForSlowCaller();
@@ -217,7 +219,9 @@
     bool isUpstreamDoubtful(const Attempt& silent) const;
     /** Returns whether the upstream of the current attempt has been silent for longer than it is expected to be. */
     bool isUpstreamSilent(Foundation::TimePoint now) const;
-    /** Returns after which silence the upstream of an attempt counts as crashed. */
+    /** Returns from when on the silence of an attempt counts as a crash of its upstream. */
+    Foundation::TimePoint crashSuspectedFrom(const Attempt& silent) const;
+    /** Returns after which silence the work of an attempt does not explain it any more. */
     Foundation::Duration crashSilence(const Attempt& silent) const;
     /** Returns how long a listed upstream may stay silent. */
     Foundation::Duration inactivityTimeout(const Attempt& silent) const;
--- a/src/libs/relay/silencedecision.cpp
+++ b/src/libs/relay/silencedecision.cpp
@@ -2,6 +2,13 @@
 
 namespace Relay {
 
+Foundation::TimePoint crashSuspectedFrom(Foundation::TimePoint lastDataAt, Foundation::Duration crashSilence,
+    std::optional<Foundation::TimePoint> lastUpstreamDataAt)
+{
+    const Foundation::TimePoint byAttempt = lastDataAt + crashSilence;
+    return lastUpstreamDataAt ? std::max(byAttempt, *lastUpstreamDataAt + longestSoundSilence) : byAttempt;
+}
+
 const char* keepReasonText(KeepReason reason)
 {
     switch (reason) {
--- a/src/libs/relay/silencedecision.h
+++ b/src/libs/relay/silencedecision.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <concepts>
 #include <cstdint>
+#include <optional>
 
 namespace Relay {
 
@@ -86,6 +87,16 @@
     return { hasEnded ? SilenceAction::End : SilenceAction::Keep, reason };
 }
 
+/**
+ * Returns from when on the silence of an attempt counts as a crash of its upstream. An upstream that has crashed sends
+ * nothing on any connection, so data of its other answers puts that time off.
+ * @param lastDataAt when the attempt last received data, or was sent.
+ * @param crashSilence the silence beyond that which a sound upstream does not reach, by the work of the attempt.
+ * @param lastUpstreamDataAt when any answer of the upstream last received data; none if it is not known.
+ */
+Foundation::TimePoint crashSuspectedFrom(Foundation::TimePoint lastDataAt, Foundation::Duration crashSilence,
+    std::optional<Foundation::TimePoint> lastUpstreamDataAt);
+
 /** Returns a short text for logs. */
 const char* keepReasonText(KeepReason reason);
 
--- a/src/libs/relay/upstreamhealth.cpp
+++ b/src/libs/relay/upstreamhealth.cpp
@@ -104,6 +104,20 @@
     record.consecutiveFailures = 0;
     record.ejectedUntil = std::min(record.ejectedUntil, now);
     record.refusedAt.reset();
+    record.lastDataAt = now;
+}
+
+void UpstreamHealth::recordData(std::string_view upstreamGeneration, Foundation::TimePoint now)
+{
+    const auto found = this->records.find(upstreamGeneration);
+    Record& record = found != this->records.end() ? found->second : this->records[std::string(upstreamGeneration)];
+    record.lastDataAt = now;
+}
+
+std::optional<Foundation::TimePoint> UpstreamHealth::lastDataAt(std::string_view upstreamGeneration) const
+{
+    const auto found = this->records.find(upstreamGeneration);
+    return found == this->records.end() ? std::nullopt : found->second.lastDataAt;
 }
 
 void UpstreamHealth::recordPeerRefusal(std::string_view upstreamGeneration, Foundation::TimePoint now)
--- a/src/libs/relay/upstreamhealth.h
+++ b/src/libs/relay/upstreamhealth.h
@@ -62,9 +62,15 @@
     /** @return the ratio of measured to expected delay of the upstream, smoothed; at least 1. */
     double slowdownFactor(std::string_view upstreamGeneration) const;
 
-    /** Records that an upstream that was silent has gone on, which ends its ejection. */
+    /** Records that an upstream that was silent has sent data, which ends its ejection. */
     void recordRecovery(std::string_view upstreamGeneration, Foundation::TimePoint now);
 
+    /** Records that an answer of the upstream has received data. */
+    void recordData(std::string_view upstreamGeneration, Foundation::TimePoint now);
+
+    /** @return when any answer of the upstream last received data; none if none has. */
+    std::optional<Foundation::TimePoint> lastDataAt(std::string_view upstreamGeneration) const;
+
     /** Records that the address of an upstream refused a connection at another process. */
     void recordPeerRefusal(std::string_view upstreamGeneration, Foundation::TimePoint now);
 
@@ -82,6 +88,8 @@
         double slowdownFactor = 1;
         Foundation::TimePoint ejectedUntil {};
         Foundation::TimePoint helpRefusedUntil {};
+        /** When an answer last received data. */
+        std::optional<Foundation::TimePoint> lastDataAt;
         /** When its address last refused a connection; none since it last answered. */
         std::optional<Foundation::TimePoint> refusedAt;
     };
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -346,6 +346,23 @@
         [this] { return this->core.renderMetrics().find("bluebell_suspects_total") != std::string::npos; }));
 }
 
+TEST(GatewayTest, aSlowCallAtAnUpstreamThatAnswersOtherRequestsIsNoSuspect)
+{
+    this->startGateway("app");
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::NeverAnswer;
+    this->send("/unsafe/x", std::make_shared<Answer>(), "POST");
+    CHECK_TRUE(this->runUntil([this] { return this->startedRequestCount() == 1; }));
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::Answer;
+    const auto silenceEnd = std::chrono::steady_clock::now() + 2'500ms;
+    while (std::chrono::steady_clock::now() < silenceEnd) {
+        LONGS_EQUAL(200, this->call("/unsafe/y", "POST").result.status);
+        this->runFor(50ms);
+    }
+    CHECK_FALSE(this->upstreamOne.startedRequests.empty());
+    CHECK_FALSE(this->upstreamTwo.startedRequests.empty());
+    CHECK_TRUE(this->core.renderMetrics().find("bluebell_suspects_total") == std::string::npos);
+}
+
 TEST(GatewayTest, aLateRejectionOfASilentUpstreamDoesNotEndTheAttemptAtAnotherUpstream)
 {
     this->startGateway("llm");
--- a/tests/auto/relay/tst_silencedecision.cpp
+++ b/tests/auto/relay/tst_silencedecision.cpp
@@ -34,6 +34,14 @@
     }));
 }
 
+TEST(SilenceDecisionTest, dataOnOtherConnectionsPutsTheSuspicionOfACrashOff)
+{
+    const Foundation::TimePoint lastDataAt { 100s };
+    CHECK_TRUE(crashSuspectedFrom(lastDataAt, 3s, std::nullopt) == lastDataAt + 3s);
+    CHECK_TRUE(crashSuspectedFrom(lastDataAt, 3s, lastDataAt + 500ms) == lastDataAt + 3s);
+    CHECK_TRUE(crashSuspectedFrom(lastDataAt, 3s, lastDataAt + 2s) == lastDataAt + 2s + longestSoundSilence);
+}
+
 TEST(SilenceDecisionTest, aSilentAttemptThatMustNotRunAgainIsKept)
 {
     CHECK_TRUE(decideOnSilence(makeAttempt(5s, false, FailoverAction::Fail), yes, yes)
