Bound how long memory stays reserved for a long prefill whose engine has ended

Callers saw: an engine crashed silently in a prefill of many seconds; its caller waited, and the other engines kept the memory that is reserved for the prompt, until 0.9 s after the first event was expected, however early the crash could be known.

Cause: a doubtful upstream counted as ended only once its silence was longer than the expected work.

Change: an attempt that has memory reserved elsewhere ends once its upstream has been doubtful for 2 s and silent for 2 s. An upstream that leaves without saying so is removed from the list and serves on for a while, so one that is not listed is asked for its status meanwhile; each answer starts the 2 s again. Attempts without memory elsewhere are decided as before. The crash is recorded when the attempt ends, as suspected.

--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -3,6 +3,8 @@
 #include <foundation/identifier.h>
 #include <foundation/logging.h>
 
+#include "platform/statuscheck.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -57,6 +59,8 @@
 constexpr std::size_t maximumRejectionBytes = 16 * 1024;
 // The head of a rejection says all; its body, which follows at once, is only worth a short wait.
 constexpr Duration rejectionBodyTimeout = std::chrono::milliseconds(100);
+// How long after its answer to a status check a doubtful upstream is asked again.
+constexpr Duration statusCheckInterval = std::chrono::milliseconds(500);
 constexpr int firstServerErrorStatus = 500;
 constexpr int firstErrorStatus = 300;
 constexpr int statusOk = 200;
@@ -1010,12 +1014,13 @@
     this->checkParkedAttempts(now);
     if (!this->attempt || this->attempt->isPaused)
         return;
+    this->updateDoubt(now);
     if (this->attempt->isRejected()) {
         if (now - this->attempt->lastDataAt >= rejectionBodyTimeout)
             this->onRejected();
         return;
     }
-    if (this->isUpstreamSilent(now))
+    if (this->attempt->doubtfulSince || this->isUpstreamSilent(now))
         this->handleSilence(now);
 }
 
@@ -1024,14 +1029,11 @@
     if (now < this->attempt->failoverNotBefore)
         return;
     // Silence is too little to run a suspect elsewhere.
-    const bool isDoubtful = this->isUpstreamDoubtful(*this->attempt);
-    const bool isSuspect
-        = !isDoubtful && this->context.suspects.status(this->fingerprint) != Quarantine::QuarantineStatus::Clear;
+    const bool isSuspect = !this->isUpstreamDoubtful(*this->attempt)
+        && this->context.suspects.status(this->fingerprint) != Quarantine::QuarantineStatus::Clear;
     const FailoverAction action
         = isSuspect ? FailoverAction::Fail : Relay::chooseFailoverAction(this->progressAfter(RunOutcome::MayHaveRun));
-    const Relay::SilentAttempt silent { now - this->attempt->lastDataAt, this->expectedSilence(*this->attempt),
-        this->inactivityTimeout(*this->attempt), isDoubtful, action,
-        this->context.dispatcher.isEngineService(this->criteria.service) };
+    const Relay::SilentAttempt silent = this->describeSilence(*this->attempt, now, action);
     const Relay::SilenceDecision decision = Relay::decideOnSilence(
         silent, [this] { return this->context.dispatcher.hasRoom(this->makeNextPrompt()); },
         [this, now] { return this->context.retryBudget.trySpend(this->criteria.service, now); });
@@ -1068,6 +1070,63 @@
         this->recordCrash(Quarantine::CrashCertainty::Suspected, "silent");
 }
 
+void ProxiedRequest::updateDoubt(TimePoint now)
+{
+    if (this->attempt->memoryReservation == 0)
+        return;
+    if (!this->isUpstreamDoubtful(*this->attempt)) {
+        this->attempt->doubtfulSince.reset();
+        return;
+    }
+    if (!this->attempt->doubtfulSince)
+        this->attempt->doubtfulSince = now;
+    if (this->attempt->nextStatusCheckAt && now >= *this->attempt->nextStatusCheckAt)
+        this->checkUpstreamStatus();
+}
+
+void ProxiedRequest::checkUpstreamStatus()
+{
+    const Assignment& assignment = this->attempt->assignment;
+    // Another generation under the same id would answer, too.
+    if (this->context.storeSynchronizer.directory().find(assignment.upstream))
+        return;
+    this->attempt->nextStatusCheckAt.reset();
+    Platform::HttpCall check = PlatformAdapter::makeStatusCheck(assignment.address, assignment.upstream);
+    check.timeout = Relay::longestSoundSilence;
+    check.connectTimeout = connectTimeout;
+    check.connectionUse = Platform::ConnectionUse::Dedicated;
+    this->context.transfers.fetch(std::move(check),
+        [weak = this->weak_from_this(), attemptNumber = this->currentAttemptNumber](
+            const Platform::HttpCallResult& result) {
+            const auto self = weak.lock();
+            if (!self || !self->attempt || self->currentAttemptNumber != attemptNumber)
+                return;
+            Attempt& checked = *self->attempt;
+            const TimePoint now = self->context.clock.now();
+            checked.nextStatusCheckAt = now + statusCheckInterval;
+            if (!checked.doubtfulSince || !PlatformAdapter::isAnsweredBy(result, checked.assignment.upstream))
+                return;
+            checked.doubtfulSince = now;
+            if (!std::exchange(checked.isKeptLogged, true))
+                logEvent(Event::AttemptSilent, self->request.id,
+                    "upstream=" + checked.assignment.upstreamGeneration
+                        + " reason=the upstream is not listed but answers status checks");
+        });
+}
+
+Relay::SilentAttempt ProxiedRequest::describeSilence(
+    const Attempt& silent, TimePoint now, FailoverAction failover) const
+{
+    return { .silence = now - silent.lastDataAt,
+        .expectedSilence = this->expectedSilence(silent),
+        .inactivityTimeout = this->inactivityTimeout(silent),
+        .isUpstreamDoubtful = this->isUpstreamDoubtful(silent),
+        .doubt = now - silent.doubtfulSince.value_or(now),
+        .holdsMemoryElsewhere = silent.memoryReservation != 0,
+        .failover = failover,
+        .canQueue = this->context.dispatcher.isEngineService(this->criteria.service) };
+}
+
 void ProxiedRequest::watchSilentAttempt(Attempt& silent, std::uint64_t number)
 {
     const std::optional<std::string> crash = this->crashName(silent);
@@ -1092,7 +1151,8 @@
     logEvent(Event::AttemptFinished, this->request.id,
         "upstream=" + this->attempt->assignment.upstreamGeneration + " ending=" + std::string(ending)
             + " silent_ms=" + millisecondsText(silence) + " fingerprint=" + this->fingerprint);
-    const bool looksLikeCrash = now >= this->crashSuspectedFrom(*this->attempt);
+    const bool looksLikeCrash = now >= this->crashSuspectedFrom(*this->attempt)
+        || Relay::hasUpstreamEnded(this->describeSilence(*this->attempt, now, FailoverAction::Fail));
     this->recordCrash(
         looksLikeCrash ? Quarantine::CrashCertainty::Suspected : Quarantine::CrashCertainty::Possible, ending);
 }
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -101,6 +101,10 @@
     bool isKeptLogged = false;
     /** Whether a crash was recorded although the attempt is kept or parked. */
     bool isCrashRecorded = false;
+    /** Since when the upstream has been doubtful or last proved that it runs; only if it is doubtful. */
+    std::optional<Foundation::TimePoint> doubtfulSince;
+    /** When the doubtful upstream is asked again whether it runs; none while it is being asked. */
+    std::optional<Foundation::TimePoint> nextStatusCheckAt = Foundation::TimePoint {};
 
     /** Returns whether the upstream has stated that it does not run the request. */
     bool isRejected() const { return this->headers.isNotExecuted; }
@@ -213,6 +217,13 @@
     /** Fails the request over, ends it, or keeps its attempt, whose upstream is silent. */
     void handleSilence(Foundation::TimePoint now);
     void keepSilentAttempt(Relay::KeepReason reason);
+    /** Updates since when the upstream of an attempt that holds memory elsewhere has been doubtful. */
+    void updateDoubt(Foundation::TimePoint now);
+    /** Asks the doubtful upstream of the current attempt whether it runs. */
+    void checkUpstreamStatus();
+    /** Returns what is known about the silence of an attempt. @param failover how the request goes on after it. */
+    Relay::SilentAttempt describeSilence(
+        const Attempt& silent, Foundation::TimePoint now, Relay::FailoverAction failover) const;
     /** Keeps the call of an attempt open after it, to see whether its upstream goes on. */
     void watchSilentAttempt(Attempt& silent, std::uint64_t number);
     /** Returns whether the upstream of an attempt is no longer listed or refuses connections. */
--- a/src/libs/foundation/event.cpp
+++ b/src/libs/foundation/event.cpp
@@ -72,7 +72,7 @@
     { Event::AttemptInterrupted, "AttemptInterrupted", Severity::Info,
         "The answer of an attempt broke off; it is resumed or ended after a status check of the upstream." },
     { Event::AttemptSilent, "AttemptSilent", Severity::Info,
-        "The upstream of an attempt is silent, and the attempt is kept since the request cannot go on elsewhere." },
+        "The upstream of an attempt is silent or doubtful, and the attempt is kept; `reason` says why." },
     { Event::SilenceEnded, "SilenceEnded", Severity::Info,
         "An upstream that was silent has gone on, so it has not crashed." },
     { Event::UpstreamGeneration, "UpstreamGeneration", Severity::Warning, "The upstream has restarted." },
--- a/src/libs/relay/silencedecision.cpp
+++ b/src/libs/relay/silencedecision.cpp
@@ -2,6 +2,14 @@
 
 namespace Relay {
 
+bool hasUpstreamEnded(const SilentAttempt& attempt)
+{
+    if (!attempt.isUpstreamDoubtful || attempt.silence < longestSoundSilence)
+        return false;
+    const bool isLate = attempt.silence >= attempt.expectedSilence;
+    return isLate || (attempt.holdsMemoryElsewhere && attempt.doubt >= longestSoundSilence);
+}
+
 Foundation::TimePoint crashSuspectedFrom(Foundation::TimePoint lastDataAt, Foundation::Duration crashSilence,
     std::optional<Foundation::TimePoint> lastUpstreamDataAt)
 {
--- a/src/libs/relay/silencedecision.h
+++ b/src/libs/relay/silencedecision.h
@@ -4,7 +4,6 @@
 
 #include <foundation/clock.h>
 
-#include <algorithm>
 #include <concepts>
 #include <cstdint>
 #include <optional>
@@ -47,6 +46,10 @@
     Foundation::Duration inactivityTimeout {};
     /** Whether the upstream is no longer listed, or its address refuses connections. */
     bool isUpstreamDoubtful = false;
+    /** The time since the upstream became doubtful, or since it last proved that it runs. */
+    Foundation::Duration doubt {};
+    /** Whether other upstreams reserve memory for the attempt. */
+    bool holdsMemoryElsewhere = false;
     /** How the request goes on if the attempt ends. */
     FailoverAction failover = FailoverAction::Fail;
     /** Whether the request can wait in a queue until another upstream has room. */
@@ -60,6 +63,13 @@
     bool operator==(const SilenceDecision&) const = default;
 };
 
+/**
+ * Returns whether the upstream of an attempt has most likely ended: it is doubtful, and no work explains its silence.
+ * Memory that is reserved elsewhere does not wait for long work, but until a sound upstream would have proved that it
+ * runs.
+ */
+bool hasUpstreamEnded(const SilentAttempt& attempt);
+
 /**
  * Decides what to do about a silent attempt. Silence alone never ends an attempt that cannot go on elsewhere.
  * @param hasRoom returns whether another upstream could take the request now, or resume the stream in time.
@@ -68,11 +78,10 @@
 template <std::predicate HasRoom, std::predicate SpendRetry>
 SilenceDecision decideOnSilence(const SilentAttempt& attempt, HasRoom hasRoom, SpendRetry spendRetry)
 {
+    const bool hasEnded = hasUpstreamEnded(attempt);
     const Foundation::Duration limit = attempt.isUpstreamDoubtful ? attempt.expectedSilence : attempt.inactivityTimeout;
-    if (attempt.silence < limit)
+    if (!hasEnded && attempt.silence < limit)
         return { SilenceAction::Wait, KeepReason::None };
-    const bool hasEnded
-        = attempt.isUpstreamDoubtful && attempt.silence >= std::max(attempt.expectedSilence, longestSoundSilence);
     // A stream that has begun waits in the queue only if nothing else can continue it.
     const bool mustHaveRoom = !attempt.canQueue || (attempt.failover == FailoverAction::Resume && !hasEnded);
     KeepReason reason = KeepReason::None;
--- a/tests/auto/relay/tst_silencedecision.cpp
+++ b/tests/auto/relay/tst_silencedecision.cpp
@@ -3,6 +3,8 @@
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
+#include <optional>
+
 using namespace Relay;
 using namespace std::chrono_literals;
 
@@ -13,7 +15,24 @@
 
 SilentAttempt makeAttempt(Foundation::Duration silence, bool isUpstreamDoubtful, FailoverAction failover)
 {
-    return { silence, 500ms, 1'000ms, isUpstreamDoubtful, failover };
+    SilentAttempt attempt;
+    attempt.silence = silence;
+    attempt.expectedSilence = 500ms;
+    attempt.inactivityTimeout = 1'000ms;
+    attempt.isUpstreamDoubtful = isUpstreamDoubtful;
+    attempt.failover = failover;
+    return attempt;
+}
+
+// An attempt in a long prefill, for which other upstreams reserve memory.
+SilentAttempt makeLongPrefill(Foundation::Duration silence, std::optional<Foundation::Duration> doubt)
+{
+    SilentAttempt attempt = makeAttempt(silence, doubt.has_value(), FailoverAction::Fail);
+    attempt.expectedSilence = 8s;
+    attempt.inactivityTimeout = 16s;
+    attempt.doubt = doubt.value_or(0s);
+    attempt.holdsMemoryElsewhere = true;
+    return attempt;
 }
 
 } // namespace
@@ -97,3 +116,23 @@
     CHECK_TRUE(
         decideOnSilence(makeAttempt(600ms, false, FailoverAction::Retry), yes, yes).action == SilenceAction::Wait);
 }
+
+TEST(SilenceDecisionTest, memoryElsewhereIsNotKeptForALongPrefillWhoseUpstreamHasEnded)
+{
+    CHECK_TRUE(decideOnSilence(makeLongPrefill(5s, 2s), yes, yes).action == SilenceAction::End);
+    SilentAttempt repeatable = makeLongPrefill(5s, 2s);
+    repeatable.failover = FailoverAction::Retry;
+    CHECK_TRUE(decideOnSilence(repeatable, yes, yes).action == SilenceAction::FailOver);
+    CHECK_TRUE(decideOnSilence(repeatable, yes, no).action == SilenceAction::End);
+}
+
+TEST(SilenceDecisionTest, aLongPrefillGoesOnWhileItsUpstreamMayBeSound)
+{
+    CHECK_TRUE(decideOnSilence(makeLongPrefill(7s, std::nullopt), yes, yes).action == SilenceAction::Wait);
+    // It has left the list, but has proved since that it runs.
+    CHECK_TRUE(decideOnSilence(makeLongPrefill(7s, 1'900ms), yes, yes).action == SilenceAction::Wait);
+    CHECK_TRUE(decideOnSilence(makeLongPrefill(1'900ms, 3s), yes, yes).action == SilenceAction::Wait);
+    SilentAttempt withoutMemory = makeLongPrefill(7s, 3s);
+    withoutMemory.holdsMemoryElsewhere = false;
+    CHECK_TRUE(decideOnSilence(withoutMemory, yes, yes).action == SilenceAction::Wait);
+}
--- a/tests/standins/crashableupstream.cpp
+++ b/tests/standins/crashableupstream.cpp
@@ -20,6 +20,8 @@
 constexpr auto lateCrashDelay = std::chrono::milliseconds(250);
 constexpr auto partCrashDelay = std::chrono::milliseconds(100);
 constexpr int thirdEvent = 3;
+// Longer than the time after which an upstream that is not listed counts as ended.
+constexpr auto longPrefillDelay = std::chrono::seconds(7);
 
 bool hasSegment(const Web::HttpRequest& request, const char* segment)
 {
@@ -90,6 +92,10 @@
         exchange->respond({ 421, "text/plain", { { "X-Instance-Id", this->id } }, "", false });
         return;
     }
+    if (request.path == "/healthz") {
+        exchange->respond({ 200, "text/plain", { { "X-Instance-Id", this->id } }, "", false });
+        return;
+    }
     if (request.path == "/order") {
         this->leases.handleOrder(*exchange);
         return;
@@ -145,7 +151,11 @@
     const bool isSlow = hasSegment(run->exchange->request(), "/slow/");
     const auto interval = isSlow ? slowStepInterval : stepInterval;
     const int last = isSlow ? lastSlowStep : lastStep;
-    run->timer.expires_after(waitsForCrash ? run->crash->delay : interval);
+    const bool isPrefilling = run->step == 0 && hasSegment(run->exchange->request(), "/prefill/");
+    if (isPrefilling)
+        run->timer.expires_after(longPrefillDelay);
+    else
+        run->timer.expires_after(waitsForCrash ? run->crash->delay : interval);
     run->timer.async_wait([this, run, waitsForCrash, last](const asio::error_code&) {
         const Web::HttpRequest& request = run->exchange->request();
         if (waitsForCrash)
--- a/tests/system/gatewayfleet.cpp
+++ b/tests/system/gatewayfleet.cpp
@@ -51,11 +51,16 @@
     nlohmann::json review = makeRoute("stream/review", "streaming", 12'000, "llm");
     review["goal_ms"] = 4'000;
     review["gap_target_ms"] = 250;
+    // For prompts whose prefill takes seconds.
+    nlohmann::json archive = makeRoute("stream/archive", "streaming", 30'000, "llm");
+    archive["goal_ms"] = 20'000;
+    archive["gap_target_ms"] = 250;
     const nlohmann::json engine = { { "slots", upstreamSlots }, { "kv_capacity", 405000 }, { "stride", 34 },
         { "step_ms", 1.31 }, { "read_per_s", 154000 }, { "pairs_per_m", 0.162 }, { "chunk", 2048 } };
     const nlohmann::json document = { { "version", version },
         { "routes",
-            { makeRoute("safe", "safe", 1'500, "app"), makeRoute("unsafe", "unsafe", 1'500, "app"), stream, review } },
+            { makeRoute("safe", "safe", 1'500, "app"), makeRoute("unsafe", "unsafe", 1'500, "app"), stream, review,
+                archive } },
         { "services", { { { "name", "app" } }, { { "name", "llm" }, { "engine", engine } } } },
         { "tenants", { { { "name", "tenant" }, { "api_keys", keys } } } } };
     return document.dump();
--- a/tests/system/leasescenario.cpp
+++ b/tests/system/leasescenario.cpp
@@ -19,12 +19,15 @@
 // How long the caller of a prompt whose engine has crashed may wait after the engine's entry has expired.
 constexpr Duration answerLimit = 1s;
 constexpr Duration callerTimeout = 10s;
+// Of a prompt with a long prefill.
+constexpr Duration patientCallerTimeout = 25s;
 constexpr Duration startTime = 1s;
 constexpr Duration disturbanceDelay = 1s;
 constexpr Duration runLimit = 20s;
 // Longer than a renewed lease lasts, so that each lease of a killed process has expired.
 constexpr Duration observationTime = 5s;
 constexpr std::size_t minimumHolders = 2;
+constexpr int success = 200;
 constexpr int upstreamFailed = 502;
 constexpr int notRun = 503;
 
@@ -32,6 +35,7 @@
     const char* name;
     /** The segments of the path, see CrashableUpstream. */
     const char* path;
+    const char* route = "review";
 };
 
 EndingPlan planOf(WorkEnding ending)
@@ -45,6 +49,10 @@
         return { "crash-reset-first", "rejected-twice/crash/reset/" };
     case WorkEnding::LateReset:
         return { "crash-reset-late", "rejected-twice/crash/reset/late/" };
+    case WorkEnding::SilentCrashInLongPrefill:
+        return { "crash-silence-prefill", "crash/silence/", "archive" };
+    case WorkEnding::EngineLeaves:
+        return { "departure-engine", "prefill/", "archive" };
     case WorkEnding::CallerLeaves:
         return { "departure-caller", "slow/" };
     case WorkEnding::Rejected:
@@ -59,6 +67,12 @@
     return {};
 }
 
+// On few engines, so that the prefill takes about ten seconds.
+bool isLongPrefill(WorkEnding ending)
+{
+    return ending == WorkEnding::SilentCrashInLongPrefill || ending == WorkEnding::EngineLeaves;
+}
+
 std::int64_t toMs(Duration duration) { return Foundation::toMilliseconds(duration); }
 
 // Runs one scenario on a context of its own.
@@ -69,7 +83,7 @@
         , fleet(this->context, programs,
               { .gateways = 2,
                   .applications = 1,
-                  .engines = 8,
+                  .engines = isLongPrefill(ending) ? 4U : 8U,
                   // A crashed engine is not restarted while the scenario runs, as its process would be reset then.
                   .shortestDowntime = 60s,
                   .longestDowntime = 61s },
@@ -83,8 +97,7 @@
         // The engines may become ready after the gateways.
         this->runner.runFor(startTime);
         this->sendPrompt();
-        if (this->ending == WorkEnding::CallerLeaves || this->ending == WorkEnding::GatewayKilled
-            || this->ending == WorkEnding::GatewayStopped) {
+        if (this->isDisturbed()) {
             this->runner.runFor(disturbanceDelay);
             this->disturb();
         }
@@ -99,15 +112,17 @@
 private:
     void sendPrompt()
     {
+        const Duration timeout = isLongPrefill(this->ending) ? patientCallerTimeout : callerTimeout;
         Platform::HttpCall prompt;
         prompt.method = "POST";
-        prompt.url = "http://" + this->fleet.gatewayAddress(0) + "/stream/review/" + planOf(this->ending).path;
+        prompt.url = "http://" + this->fleet.gatewayAddress(0) + "/stream/" + planOf(this->ending).route + "/"
+            + planOf(this->ending).path;
         prompt.headers = { "Host: h", "X-Attempt-Id: prompt", "Authorization: Token key",
-            "X-Deadline-Ms: " + std::to_string(toMs(callerTimeout)), "X-Model: m",
+            "X-Deadline-Ms: " + std::to_string(toMs(timeout)), "X-Model: m",
             // More than the memory of one engine, see GatewayFleet::makeDocument().
-            "X-Token-Usage: 457030,80" };
+            isLongPrefill(this->ending) ? "X-Token-Usage: 600000,80" : "X-Token-Usage: 457030,80" };
         prompt.body = "prompt";
-        prompt.timeout = callerTimeout + 5s;
+        prompt.timeout = timeout + 5s;
         prompt.connectionUse = Platform::ConnectionUse::Dedicated;
         prompt.resend = Platform::Resend::Never;
         this->sentAt = std::chrono::steady_clock::now();
@@ -126,12 +141,25 @@
         this->disturbedAt = std::chrono::steady_clock::now();
         if (this->ending == WorkEnding::CallerLeaves)
             this->fleet.transfers().cancel(this->call);
+        else if (this->ending == WorkEnding::EngineLeaves)
+            this->removeWorkingEngine();
         else if (this->ending == WorkEnding::GatewayKilled)
             this->fleet.killGateway(0);
         else
             this->fleet.stopGateway(0);
     }
 
+    // Removes the entry of the engine that works on the prompt, which serves on.
+    void removeWorkingEngine()
+    {
+        for (const RunLogEntry& run : this->fleet.runLog()) {
+            for (std::size_t i = 0; i < this->fleet.upstreamCount(); ++i) {
+                if (run.what == "begin" && this->fleet.upstreamId(i) == run.upstream)
+                    this->fleet.removeEntry(i);
+            }
+        }
+    }
+
     const RunLogEntry* findCrash() const
     {
         const auto found = std::ranges::find_if(this->fleet.runLog(), &RunLogEntry::isCrash);
@@ -145,7 +173,14 @@
 
     bool isSilentCrash() const
     {
-        return this->ending == WorkEnding::SilentCrash || this->ending == WorkEnding::LateSilentCrash;
+        return this->ending == WorkEnding::SilentCrash || this->ending == WorkEnding::LateSilentCrash
+            || this->ending == WorkEnding::SilentCrashInLongPrefill;
+    }
+
+    bool isDisturbed() const
+    {
+        return this->ending == WorkEnding::CallerLeaves || this->ending == WorkEnding::EngineLeaves
+            || this->ending == WorkEnding::GatewayKilled || this->ending == WorkEnding::GatewayStopped;
     }
 
     bool hasWorkEnded() const { return !this->isCrash() || this->findCrash(); }
@@ -211,14 +246,19 @@
     {
         this->result.answeredMs = toMs(this->callEndedAt - this->knowableAt());
         const bool isBounded = this->isCrash() || this->ending == WorkEnding::UnfinishedRejection;
-        if (isBounded && this->callEndedAt > this->knowableAt() + answerLimit)
+        const Duration limit = isLongPrefill(this->ending) ? releaseLimit : answerLimit;
+        if (isBounded && this->callEndedAt > this->knowableAt() + limit)
             this->violate("the caller waited " + std::to_string(this->result.answeredMs)
                 + " ms after the end of the work could be known");
         const int status = this->result.status;
-        if (this->ending == WorkEnding::SilentCrash || this->ending == WorkEnding::Reset)
+        if (this->ending == WorkEnding::SilentCrash || this->ending == WorkEnding::SilentCrashInLongPrefill
+            || this->ending == WorkEnding::Reset)
             this->expect(status == upstreamFailed, "the caller got status " + std::to_string(status));
         if (this->ending == WorkEnding::Rejected || this->ending == WorkEnding::UnfinishedRejection)
             this->expect(status == notRun, "the caller got status " + std::to_string(status));
+        if (this->ending == WorkEnding::EngineLeaves)
+            this->expect(status == success && this->receivedParts > 0 && this->isAnswerWhole,
+                "the caller got no whole answer of the engine that left");
         if (this->ending == WorkEnding::LateSilentCrash || this->ending == WorkEnding::LateReset)
             this->expect(this->receivedParts > 0 && !this->isAnswerWhole, "the caller got no stream that was cut");
     }
@@ -249,9 +289,9 @@
 
 std::vector<WorkEnding> allWorkEndings()
 {
-    return { WorkEnding::SilentCrash, WorkEnding::LateSilentCrash, WorkEnding::Reset, WorkEnding::LateReset,
-        WorkEnding::CallerLeaves, WorkEnding::Rejected, WorkEnding::UnfinishedRejection, WorkEnding::GatewayKilled,
-        WorkEnding::GatewayStopped };
+    return { WorkEnding::SilentCrash, WorkEnding::LateSilentCrash, WorkEnding::SilentCrashInLongPrefill,
+        WorkEnding::Reset, WorkEnding::LateReset, WorkEnding::EngineLeaves, WorkEnding::CallerLeaves,
+        WorkEnding::Rejected, WorkEnding::UnfinishedRejection, WorkEnding::GatewayKilled, WorkEnding::GatewayStopped };
 }
 
 const char* toString(WorkEnding ending) { return planOf(ending).name; }
--- a/tests/system/leasescenario.h
+++ b/tests/system/leasescenario.h
@@ -13,9 +13,13 @@
     SilentCrash,
     /** It falls silent for ever after the stream has begun. */
     LateSilentCrash,
+    /** It falls silent for ever in a prefill that takes longer than its entry lasts. */
+    SilentCrashInLongPrefill,
     /** Its process ends, so that its connections are reset. */
     Reset,
     LateReset,
+    /** The engine's entry is removed in a long prefill, and the engine ends its work before it stops. */
+    EngineLeaves,
     CallerLeaves,
     /** All engines reject the prompt. */
     Rejected,
