Release the memory of a paused stream whose engine has ended

Callers saw: a caller received a long stream slowly, so that the gateway did not read on, and the engine crashed silently. The other engines kept the memory that is reserved for the prompt until the caller's deadline.

Cause: ProxiedRequest::checkTimeouts returned early for a paused attempt, as the silence of a stream that is not read says nothing. But the end of an upstream is known from the list and from refused connections, not from the silence alone.

Change: a paused attempt that has memory elsewhere is decided by the rule of long prefills: once its upstream has been doubtful for 2 s and has answered no status check since, the memory is released and the crash is recorded. The stream goes on, since its caller may still receive what has arrived.

--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -1012,7 +1012,7 @@
         return;
     }
     this->checkParkedAttempts(now);
-    if (!this->attempt || this->attempt->isPaused)
+    if (!this->attempt)
         return;
     this->updateDoubt(now);
     if (this->attempt->isRejected()) {
@@ -1020,7 +1020,7 @@
             this->onRejected();
         return;
     }
-    if (this->attempt->doubtfulSince || this->isUpstreamSilent(now))
+    if (this->attempt->doubtfulSince || (!this->attempt->isPaused && this->isUpstreamSilent(now)))
         this->handleSilence(now);
 }
 
@@ -1043,6 +1043,10 @@
         this->keepSilentAttempt(decision.reason);
         return;
     }
+    if (decision.action == SilenceAction::Release) {
+        this->releaseMemoryOfPausedAttempt();
+        return;
+    }
     const bool failsOver = decision.action == SilenceAction::FailOver;
     this->recordUnansweredAttempt(failsOver ? "silent" : "upstream ended");
     // Memory that is reserved elsewhere is not kept for an answer that may not come.
@@ -1070,6 +1074,18 @@
         this->recordCrash(Quarantine::CrashCertainty::Suspected, "silent");
 }
 
+void ProxiedRequest::releaseMemoryOfPausedAttempt()
+{
+    const Duration silence = this->context.clock.now() - this->attempt->lastDataAt;
+    logEvent(Event::AttemptSilent, this->request.id,
+        "upstream=" + this->attempt->assignment.upstreamGeneration + " silent_ms=" + millisecondsText(silence)
+            + " reason=the upstream has ended, and the caller still receives what it sent");
+    if (!std::exchange(this->attempt->isCrashRecorded, true))
+        this->recordCrash(Quarantine::CrashCertainty::Suspected, "upstream ended");
+    this->context.memoryLeases.release(std::exchange(this->attempt->memoryReservation, 0));
+    this->attempt->doubtfulSince.reset();
+}
+
 void ProxiedRequest::updateDoubt(TimePoint now)
 {
     if (this->attempt->memoryReservation == 0)
@@ -1123,6 +1139,7 @@
         .isUpstreamDoubtful = this->isUpstreamDoubtful(silent),
         .doubt = now - silent.doubtfulSince.value_or(now),
         .holdsMemoryElsewhere = silent.memoryReservation != 0,
+        .isPaused = silent.isPaused,
         .failover = failover,
         .canQueue = this->context.dispatcher.isEngineService(this->criteria.service) };
 }
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -217,6 +217,8 @@
     /** Fails the request over, ends it, or keeps its attempt, whose upstream is silent. */
     void handleSilence(Foundation::TimePoint now);
     void keepSilentAttempt(Relay::KeepReason reason);
+    /** Releases the memory of an attempt whose upstream has ended while its caller still receives what it has sent. */
+    void releaseMemoryOfPausedAttempt();
     /** Updates since when the upstream of an attempt that holds memory elsewhere has been doubtful. */
     void updateDoubt(Foundation::TimePoint now);
     /** Asks the doubtful upstream of the current attempt whether it runs. */
--- a/src/libs/relay/silencedecision.cpp
+++ b/src/libs/relay/silencedecision.cpp
@@ -6,7 +6,7 @@
 {
     if (!attempt.isUpstreamDoubtful || attempt.silence < longestSoundSilence)
         return false;
-    const bool isLate = attempt.silence >= attempt.expectedSilence;
+    const bool isLate = !attempt.isPaused && attempt.silence >= attempt.expectedSilence;
     return isLate || (attempt.holdsMemoryElsewhere && attempt.doubt >= longestSoundSilence);
 }
 
--- a/src/libs/relay/silencedecision.h
+++ b/src/libs/relay/silencedecision.h
@@ -26,6 +26,8 @@
     FailOver,
     /** The upstream has most likely ended, and the request cannot be sent elsewhere. */
     End,
+    /** The upstream has most likely ended, and what it has sent is still delivered: only memory is released. */
+    Release,
 };
 
 /** Why a silent attempt is not failed over. */
@@ -50,6 +52,8 @@
     Foundation::Duration doubt {};
     /** Whether other upstreams reserve memory for the attempt. */
     bool holdsMemoryElsewhere = false;
+    /** Whether the stream is not read until its caller has received more of it, so that its silence says nothing. */
+    bool isPaused = false;
     /** How the request goes on if the attempt ends. */
     FailoverAction failover = FailoverAction::Fail;
     /** Whether the request can wait in a queue until another upstream has room. */
@@ -71,7 +75,8 @@
 bool hasUpstreamEnded(const SilentAttempt& attempt);
 
 /**
- * Decides what to do about a silent attempt. Silence alone never ends an attempt that cannot go on elsewhere.
+ * Decides what to do about an attempt that is silent, or paused for its caller. Silence alone never ends an attempt
+ * that cannot go on elsewhere.
  * @param hasRoom returns whether another upstream could take the request now, or resume the stream in time.
  * @param spendRetry takes a unit of the retry budget and returns whether there was one.
  */
@@ -79,6 +84,8 @@
 SilenceDecision decideOnSilence(const SilentAttempt& attempt, HasRoom hasRoom, SpendRetry spendRetry)
 {
     const bool hasEnded = hasUpstreamEnded(attempt);
+    if (attempt.isPaused)
+        return { hasEnded ? SilenceAction::Release : SilenceAction::Wait, KeepReason::None };
     const Foundation::Duration limit = attempt.isUpstreamDoubtful ? attempt.expectedSilence : attempt.inactivityTimeout;
     if (!hasEnded && attempt.silence < limit)
         return { SilenceAction::Wait, KeepReason::None };
--- a/tests/auto/relay/tst_silencedecision.cpp
+++ b/tests/auto/relay/tst_silencedecision.cpp
@@ -35,6 +35,15 @@
     return attempt;
 }
 
+SilentAttempt makePaused(Foundation::Duration silence, std::optional<Foundation::Duration> doubt)
+{
+    SilentAttempt attempt = makeLongPrefill(silence, doubt);
+    attempt.expectedSilence = 500ms;
+    attempt.inactivityTimeout = 1s;
+    attempt.isPaused = true;
+    return attempt;
+}
+
 } // namespace
 
 TEST_GROUP(SilenceDecisionTest) {};
@@ -136,3 +145,24 @@
     withoutMemory.holdsMemoryElsewhere = false;
     CHECK_TRUE(decideOnSilence(withoutMemory, yes, yes).action == SilenceAction::Wait);
 }
+
+TEST(SilenceDecisionTest, memoryElsewhereIsNotKeptForAPausedStreamWhoseUpstreamHasEnded)
+{
+    CHECK_TRUE(decideOnSilence(makePaused(5s, 2s), yes, yes).action == SilenceAction::Release);
+}
+
+// What its upstream has sent before is still delivered to its caller.
+TEST(SilenceDecisionTest, aPausedStreamIsNeitherEndedNorFailedOver)
+{
+    CHECK_TRUE(rc::check([] {
+        const auto silence = std::chrono::milliseconds(*rc::gen::inRange(0, 60'000));
+        const auto doubt = std::chrono::milliseconds(*rc::gen::inRange(0, 60'000));
+        SilentAttempt paused = makePaused(silence, *rc::gen::arbitrary<bool>() ? std::optional(doubt) : std::nullopt);
+        paused.holdsMemoryElsewhere = *rc::gen::arbitrary<bool>();
+        paused.failover = *rc::gen::element(FailoverAction::Fail, FailoverAction::Resume, FailoverAction::Retry);
+        const SilenceAction action = decideOnSilence(paused, yes, yes).action;
+        const bool mustRelease = paused.holdsMemoryElsewhere && paused.isUpstreamDoubtful
+            && silence >= longestSoundSilence && doubt >= longestSoundSilence;
+        RC_ASSERT(action == (mustRelease ? SilenceAction::Release : SilenceAction::Wait));
+    }));
+}
--- a/tests/standins/crashableupstream.cpp
+++ b/tests/standins/crashableupstream.cpp
@@ -22,6 +22,8 @@
 constexpr int thirdEvent = 3;
 // Longer than the time after which an upstream that is not listed counts as ended.
 constexpr auto longPrefillDelay = std::chrono::seconds(7);
+// More than the buffers of two connections hold.
+constexpr std::size_t largeEventBytes = 6'000'000;
 
 bool hasSegment(const Web::HttpRequest& request, const char* segment)
 {
@@ -152,17 +154,18 @@
     const auto interval = isSlow ? slowStepInterval : stepInterval;
     const int last = isSlow ? lastSlowStep : lastStep;
     const bool isPrefilling = run->step == 0 && hasSegment(run->exchange->request(), "/prefill/");
+    const std::size_t eventBytes = hasSegment(run->exchange->request(), "/large/") ? largeEventBytes : 0;
     if (isPrefilling)
         run->timer.expires_after(longPrefillDelay);
     else
         run->timer.expires_after(waitsForCrash ? run->crash->delay : interval);
-    run->timer.async_wait([this, run, waitsForCrash, last](const asio::error_code&) {
+    run->timer.async_wait([this, run, waitsForCrash, last, eventBytes](const asio::error_code&) {
         const Web::HttpRequest& request = run->exchange->request();
         if (waitsForCrash)
             this->crash(request);
         ++run->step;
         if (run->isStream)
-            run->exchange->write(makeEvent(run->step));
+            run->exchange->write(makeEvent(run->step, eventBytes));
         if (run->step < last) {
             this->continueRun(run);
         } else if (run->isStream) {
--- a/tests/standins/crashableupstream.h
+++ b/tests/standins/crashableupstream.h
@@ -22,9 +22,9 @@
  * if a part of the prompt other than the last has an id that begins with crashingPartMark; the segments /head/, /first/
  * and /third/ say whether it crashes before the head, in place of the first event or after three events. With the
  * segment /rejected-twice/ the first two sends of a request are rejected as not run, whichever upstreams receive them,
- * and with /rejected/ all are; with /slow/ a run takes long, and with /prefill/ its first event comes after seconds.
- * The segment /unfinished/ leaves out the end of a rejection. Each request that begins to run, each crash and each
- * order to reserve memory is a line of the run log.
+ * and with /rejected/ all are; with /slow/ a run takes long, with /prefill/ its first event comes after seconds, and
+ * with /large/ its events are larger than what connections buffer. The segment /unfinished/ leaves out the end of a
+ * rejection. Each request that begins to run, each crash and each order to reserve memory is a line of the run log.
  */
 class CrashableUpstream {
 public:
--- a/tests/standins/standinanswer.cpp
+++ b/tests/standins/standinanswer.cpp
@@ -18,7 +18,10 @@
         std::move(body), false };
 }
 
-std::string makeEvent(int id) { return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n"; }
+std::string makeEvent(int id, std::size_t paddingBytes)
+{
+    return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + std::string(paddingBytes, '.') + "\n\n";
+}
 
 std::string standinBody()
 {
--- a/tests/standins/standinanswer.h
+++ b/tests/standins/standinanswer.h
@@ -21,8 +21,8 @@
 /** Returns an answer that carries the id of its request and the signature of an upstream. */
 Web::HttpReply makeSignedReply(const Web::HttpRequest& request, int status, std::string body);
 
-/** Returns an event of a stream. */
-std::string makeEvent(int id);
+/** Returns an event of a stream. @param paddingBytes how much longer its data is. */
+std::string makeEvent(int id, std::size_t paddingBytes = 0);
 
 /** The last event of the streams of stand-ins that run in processes of their own. */
 constexpr int lastStandinEvent = 5;
--- a/tests/system/leasescenario.cpp
+++ b/tests/system/leasescenario.cpp
@@ -51,6 +51,8 @@
         return { "crash-reset-late", "rejected-twice/crash/reset/late/" };
     case WorkEnding::SilentCrashInLongPrefill:
         return { "crash-silence-prefill", "crash/silence/", "archive" };
+    case WorkEnding::SilentCrashOfPausedStream:
+        return { "crash-silence-paused", "crash/silence/late/large/" };
     case WorkEnding::EngineLeaves:
         return { "departure-engine", "prefill/", "archive" };
     case WorkEnding::CallerLeaves:
@@ -101,9 +103,15 @@
             this->runner.runFor(disturbanceDelay);
             this->disturb();
         }
-        this->runner.runUntil([this] { return this->hasWorkEnded() && this->hasCallEnded; }, runLimit);
+        const bool isPaused = this->ending == WorkEnding::SilentCrashOfPausedStream;
+        this->runner.runUntil(
+            [this, isPaused] { return this->hasWorkEnded() && (isPaused || this->hasCallEnded); }, runLimit);
         this->runner.runUntil([this] { return std::chrono::steady_clock::now() >= this->knowableAt(); }, runLimit);
         this->runner.runFor(observationTime);
+        if (isPaused) {
+            this->fleet.transfers().resume(this->call);
+            this->runner.runUntil([this] { return this->hasCallEnded; }, runLimit);
+        }
         this->evaluate();
         this->result.logFolder = this->fleet.logFolder();
         return this->result;
@@ -127,7 +135,7 @@
         prompt.resend = Platform::Resend::Never;
         this->sentAt = std::chrono::steady_clock::now();
         this->call = this->fleet.transfers().stream(std::move(prompt),
-            { [this](const Platform::HttpAnswerHead& head) { this->result.status = head.status; },
+            { [this](const Platform::HttpAnswerHead& head) { this->onHead(head.status); },
                 [this](const std::string&) { ++this->receivedParts; },
                 [this](const Platform::HttpCallResult& answer) {
                     this->hasCallEnded = true;
@@ -136,6 +144,13 @@
                 } });
     }
 
+    void onHead(int status)
+    {
+        this->result.status = status;
+        if (this->ending == WorkEnding::SilentCrashOfPausedStream)
+            this->fleet.transfers().pause(this->call);
+    }
+
     void disturb()
     {
         this->disturbedAt = std::chrono::steady_clock::now();
@@ -174,7 +189,8 @@
     bool isSilentCrash() const
     {
         return this->ending == WorkEnding::SilentCrash || this->ending == WorkEnding::LateSilentCrash
-            || this->ending == WorkEnding::SilentCrashInLongPrefill;
+            || this->ending == WorkEnding::SilentCrashInLongPrefill
+            || this->ending == WorkEnding::SilentCrashOfPausedStream;
     }
 
     bool isDisturbed() const
@@ -245,7 +261,8 @@
     void checkAnswer()
     {
         this->result.answeredMs = toMs(this->callEndedAt - this->knowableAt());
-        const bool isBounded = this->isCrash() || this->ending == WorkEnding::UnfinishedRejection;
+        const bool isPaused = this->ending == WorkEnding::SilentCrashOfPausedStream;
+        const bool isBounded = (this->isCrash() && !isPaused) || this->ending == WorkEnding::UnfinishedRejection;
         const Duration limit = isLongPrefill(this->ending) ? releaseLimit : answerLimit;
         if (isBounded && this->callEndedAt > this->knowableAt() + limit)
             this->violate("the caller waited " + std::to_string(this->result.answeredMs)
@@ -259,7 +276,8 @@
         if (this->ending == WorkEnding::EngineLeaves)
             this->expect(status == success && this->receivedParts > 0 && this->isAnswerWhole,
                 "the caller got no whole answer of the engine that left");
-        if (this->ending == WorkEnding::LateSilentCrash || this->ending == WorkEnding::LateReset)
+        if (this->ending == WorkEnding::LateSilentCrash || this->ending == WorkEnding::LateReset
+            || this->ending == WorkEnding::SilentCrashOfPausedStream)
             this->expect(this->receivedParts > 0 && !this->isAnswerWhole, "the caller got no stream that was cut");
     }
 
@@ -290,8 +308,9 @@
 std::vector<WorkEnding> allWorkEndings()
 {
     return { WorkEnding::SilentCrash, WorkEnding::LateSilentCrash, WorkEnding::SilentCrashInLongPrefill,
-        WorkEnding::Reset, WorkEnding::LateReset, WorkEnding::EngineLeaves, WorkEnding::CallerLeaves,
-        WorkEnding::Rejected, WorkEnding::UnfinishedRejection, WorkEnding::GatewayKilled, WorkEnding::GatewayStopped };
+        WorkEnding::SilentCrashOfPausedStream, WorkEnding::Reset, WorkEnding::LateReset, WorkEnding::EngineLeaves,
+        WorkEnding::CallerLeaves, WorkEnding::Rejected, WorkEnding::UnfinishedRejection, WorkEnding::GatewayKilled,
+        WorkEnding::GatewayStopped };
 }
 
 const char* toString(WorkEnding ending) { return planOf(ending).name; }
--- a/tests/system/leasescenario.h
+++ b/tests/system/leasescenario.h
@@ -15,6 +15,8 @@
     LateSilentCrash,
     /** It falls silent for ever in a prefill that takes longer than its entry lasts. */
     SilentCrashInLongPrefill,
+    /** It falls silent for ever while its stream is not read, as its caller receives it slowly. */
+    SilentCrashOfPausedStream,
     /** Its process ends, so that its connections are reset. */
     Reset,
     LateReset,
