Give a retry back that was spent for a failover that is not sent

What callers saw: a silent stream failed over, waited in the queue for another upstream, and was served by its own, which went on first. The retry it had spent was never sent but stayed counted for ten seconds, so a stream that broke off then got 502 although another upstream had room.

Cause: the unit is spent when the failover is decided, and the send may come seconds later or never. Change: the request keeps note of a unit that is spent and not sent, and gives it back when it returns to a silent attempt or ends.

No check is changed.

--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -368,6 +368,7 @@
     const Web::HttpRequest& source = this->exchange->request();
     const Assignment& assignment = this->attempt->assignment;
     ++this->sends;
+    this->unsentRetrySpentAt.reset();
     Platform::HttpCall call;
     call.method = source.method;
     call.url = "http://" + assignment.address + source.target;
@@ -630,6 +631,7 @@
     if (this->queuedPromptId != 0)
         this->context.dispatcher.withdraw(this->queuedPromptId);
     this->queuedPromptId = 0;
+    this->giveUnsentRetryBack();
     if (this->attempt && this->attempt->call != 0 && !this->attempt->isRejected())
         ++this->runs;
     this->closeAttempt(std::nullopt);
@@ -887,7 +889,7 @@
     this->runs = progress.runs;
     FailoverAction action = Relay::chooseFailoverAction(progress);
     const bool needsRetryBudget = hasReachedUpstream && action != FailoverAction::Fail;
-    if (needsRetryBudget && !this->context.retryBudget.trySpend(this->criteria.service, this->context.clock.now())) {
+    if (needsRetryBudget && !this->trySpendRetry(this->context.clock.now())) {
         action = FailoverAction::Fail;
         this->context.metrics.countRefusal(ResultCode::RetryBudgetSpent);
     }
@@ -990,6 +992,7 @@
     if (this->queuedPromptId != 0)
         this->context.dispatcher.withdraw(this->queuedPromptId);
     this->queuedPromptId = 0;
+    this->giveUnsentRetryBack();
     this->context.onEnded(*this);
 }
 
@@ -1036,7 +1039,7 @@
     const Relay::SilentAttempt silent = this->describeSilence(*this->attempt, now, action);
     const Relay::SilenceDecision decision = Relay::decideOnSilence(
         silent, [this] { return this->context.dispatcher.hasRoom(this->makeNextPrompt()); },
-        [this, now] { return this->context.retryBudget.trySpend(this->criteria.service, now); });
+        [this, now] { return this->trySpendRetry(now); });
     if (decision.action == SilenceAction::Wait)
         return;
     if (decision.action == SilenceAction::Keep) {
@@ -1233,6 +1236,21 @@
     return std::max(2 * assignment.expectedFirstEventDelay, this->route->firstEventTarget) + helperFailureAllowance;
 }
 
+bool ProxiedRequest::trySpendRetry(TimePoint now)
+{
+    this->giveUnsentRetryBack();
+    if (!this->context.retryBudget.trySpend(this->criteria.service, now))
+        return false;
+    this->unsentRetrySpentAt = now;
+    return true;
+}
+
+void ProxiedRequest::giveUnsentRetryBack()
+{
+    if (const auto spentAt = std::exchange(this->unsentRetrySpentAt, std::nullopt))
+        this->context.retryBudget.giveBack(this->criteria.service, *spentAt);
+}
+
 Duration ProxiedRequest::timeLeft() const { return this->deadline - this->context.clock.now(); }
 
 void ProxiedRequest::recordHelperFailure(const std::string& address)
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -214,6 +214,10 @@
     void onCallerGone();
     void finish();
     Foundation::Duration timeLeft() const;
+    /** Spends a unit of the retry budget for the next send. Returns false if the budget is exhausted. */
+    bool trySpendRetry(Foundation::TimePoint now);
+    /** Gives the unit back that was spent for a send that has not taken place. */
+    void giveUnsentRetryBack();
     /** Fails the request over, ends it, or keeps its attempt, whose upstream is silent. */
     void handleSilence(Foundation::TimePoint now);
     void keepSilentAttempt(Relay::KeepReason reason);
@@ -285,6 +289,8 @@
     int runs = 0;
     /** All attempts that were sent, including rejected ones. */
     int sends = 0;
+    /** When a unit of the retry budget was spent for the next send; none if that needs none or was sent. */
+    std::optional<Foundation::TimePoint> unsentRetrySpentAt;
     bool hasStreamBegun = false;
     bool hasEnded = false;
 };
--- a/src/libs/relay/localretrybudget.cpp
+++ b/src/libs/relay/localretrybudget.cpp
@@ -31,6 +31,11 @@
     return true;
 }
 
+void LocalRetryBudget::giveBack(std::string_view service, Foundation::TimePoint spentAt)
+{
+    this->countsFor(service).retries.remove(spentAt);
+}
+
 LocalRetryBudget::Counts& LocalRetryBudget::countsFor(std::string_view service)
 {
     const auto found = this->services.find(service);
--- a/src/libs/relay/localretrybudget.h
+++ b/src/libs/relay/localretrybudget.h
@@ -42,6 +42,12 @@
      */
     bool trySpend(std::string_view service, Foundation::TimePoint now);
 
+    /**
+     * Takes a retry back that was not sent.
+     * @param spentAt the time at which it was spent.
+     */
+    void giveBack(std::string_view service, Foundation::TimePoint spentAt);
+
 private:
     struct Counts {
         SlidingWindowCounter requests;
--- a/src/libs/relay/slidingwindowcounter.h
+++ b/src/libs/relay/slidingwindowcounter.h
@@ -17,6 +17,9 @@
 
     void add(Foundation::TimePoint now) { this->times.push_back(now); }
 
+    /** Removes an event that was added with this time; ignores times without an event. */
+    void remove(Foundation::TimePoint time);
+
     /** @return the number of events within the window that ends now. */
     std::size_t count(Foundation::TimePoint now);
 
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -539,6 +539,29 @@
     LONGS_EQUAL(200, answer->result.status);
 }
 
+// The failover waits in the queue for another upstream until the first one goes on.
+TEST(GatewayTest, aFailoverThatWasNotSentSpendsNoRetry)
+{
+    this->settings.node.retryRatio = 0;
+    this->settings.node.retryAllowance = 2;
+    this->core.reload(this->settings);
+    this->upstreamOne.behaviour = UpstreamBehaviour::AnswerAfterSilence;
+    this->startGateway("llm");
+    this->store.removeKey("keyed.servers", "two");
+    this->runFor(800ms);
+    LONGS_EQUAL(200, this->call("/stream/x", "POST").result.status);
+    this->store.put("keyed.servers", "two", this->upstreamTwo.entry("llm"));
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::CloseBeforeAnswer;
+    this->upstreamOne.startedRequests.clear();
+    this->runFor(800ms);
+    const auto answer = std::make_shared<Answer>();
+    this->send("/stream/y", answer, "POST");
+    CHECK_TRUE(this->runUntil([this] { return this->startedRequestCount() == 1; }));
+    this->otherUpstream().behaviour = UpstreamBehaviour::Answer;
+    CHECK_TRUE(this->runUntil([&] { return answer->isFinished; }));
+    LONGS_EQUAL(200, answer->result.status);
+}
+
 TEST(GatewayTest, aSilentUpstreamDoesNotGoOnWithACallThatWasAnsweredElsewhere)
 {
     this->startGateway("app");
--- a/tests/auto/relay/tst_localretrybudget.cpp
+++ b/tests/auto/relay/tst_localretrybudget.cpp
@@ -8,6 +8,18 @@
 
 TEST_GROUP(LocalRetryBudgetTest) {};
 
+TEST(LocalRetryBudgetTest, aRetryThatWasNotSentCanBeSpentAgain)
+{
+    LocalRetryBudget budget({ 0, 2, 10s });
+    const Foundation::TimePoint start {};
+    CHECK_TRUE(budget.trySpend("s", start));
+    CHECK_FALSE(budget.trySpend("s", start + 1s));
+    budget.giveBack("s", start);
+    CHECK_TRUE(budget.trySpend("s", start + 1s));
+    budget.giveBack("s", start);
+    CHECK_FALSE(budget.trySpend("s", start + 2s));
+}
+
 TEST(LocalRetryBudgetTest, theRetriesOfAllProcessesStayWithinTheLimit)
 {
     CHECK_TRUE(rc::check([] {
