Log what a request waits for once it is later than its target

What the users saw: a stream broke at its deadline of 7 s and no line of the log between its acceptance and its end said what it had waited for.

Change: event 417 (RequestLate, debug) and bluebell_late_requests_total, once for each wait that is longer than the target for the first event, or for the gap after an event. waits_for is queue, memory, caller or upstream; the line has the silence of the upstream and the parked attempt, if there is one.

aCallThatIsLateAtItsUpstreamIsLogged, aPromptThatIsLateInTheQueueIsLogged and aStreamThatIsLateForASlowCallerIsLogged failed before (CHECK_TRUE(this->isLateRequestCounted("upstream"), "queue", "caller") failed). tst_gateway 89 of 89.

--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -491,6 +491,7 @@
             Foundation::toSeconds(this->context.clock.now() - this->arrivedAt) * 1e3);
     }
     this->lastDeliveredAt = this->context.clock.now();
+    this->isWaitLogged = false;
     this->exchange->write(std::move(completeEvents));
     this->pauseForSlowCaller();
 }
@@ -1014,6 +1015,7 @@
         this->fail(mayHaveRun ? ResultCode::DeadlineExceeded : ResultCode::DeadlineUnreachable, defaultRetryAfter);
         return;
     }
+    this->logIfLate(now);
     this->checkParkedAttempts(now);
     if (!this->attempt)
         return;
@@ -1253,6 +1255,36 @@
 
 Duration ProxiedRequest::timeLeft() const { return this->deadline - this->context.clock.now(); }
 
+void ProxiedRequest::logIfLate(TimePoint now)
+{
+    const Duration target = this->hasStreamBegun ? this->route->eventGapTarget : this->route->firstEventTarget;
+    const Duration waited = now - this->lastDeliveredAt;
+    if (this->isWaitLogged || waited <= target)
+        return;
+    this->isWaitLogged = true;
+    const std::string awaited = this->awaitedParty();
+    std::string detail = "waits_for=" + awaited + " waited_ms=" + millisecondsText(waited)
+        + " target_ms=" + millisecondsText(target) + " sends=" + std::to_string(this->sends);
+    if (this->attempt)
+        detail += " upstream=" + this->attempt->assignment.upstreamGeneration
+            + " silent_ms=" + millisecondsText(now - this->attempt->lastDataAt);
+    for (const ParkedAttempt& parked : this->parkedAttempts)
+        detail += " parked=" + parked.attempt.assignment.upstreamGeneration;
+    logEvent(Event::RequestLate, this->request.id, detail);
+    this->context.metrics.counter("bluebell_late_requests_total", "waits_for=\"" + awaited + "\"").fetch_add(1);
+}
+
+const char* ProxiedRequest::awaitedParty() const
+{
+    if (this->queuedPromptId != 0)
+        return "queue";
+    if (!this->attempt)
+        return "nothing";
+    if (this->attempt->call == 0)
+        return "memory";
+    return this->attempt->isPaused ? "caller" : "upstream";
+}
+
 void ProxiedRequest::recordHelperFailure(const std::string& address)
 {
     const Membership::Upstream* const helper = this->context.storeSynchronizer.directory().findByAddress(address);
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -218,6 +218,10 @@
     bool trySpendRetry(Foundation::TimePoint now);
     /** Gives the unit back that was spent for a send that has not taken place. */
     void giveUnsentRetryBack();
+    /** Logs, once for each wait, what the request waits for if its caller has waited for longer than the target. */
+    void logIfLate(Foundation::TimePoint now);
+    /** Returns what the request waits for, as a word for logs and metrics. */
+    const char* awaitedParty() const;
     /** Fails the request over, ends it, or keeps its attempt, whose upstream is silent. */
     void handleSilence(Foundation::TimePoint now);
     void keepSilentAttempt(Relay::KeepReason reason);
@@ -275,6 +279,8 @@
     Foundation::TimePoint deadline {};
     /** When the caller last received a part of the answer; the arrival of the request before the first one. */
     Foundation::TimePoint lastDeliveredAt {};
+    /** Whether the wait since lastDeliveredAt was logged as longer than the target. */
+    bool isWaitLogged = false;
     /** 0 while the request is not queued. */
     Placement::QueuedPromptId queuedPromptId = 0;
     std::optional<Attempt> attempt;
--- a/src/libs/foundation/event.cpp
+++ b/src/libs/foundation/event.cpp
@@ -75,6 +75,8 @@
         "The upstream of an attempt is silent or doubtful, and the attempt is kept; `reason` says why." },
     { Event::SilenceEnded, "SilenceEnded", Severity::Info,
         "An upstream that was silent has gone on, so it has not crashed." },
+    { Event::RequestLate, "RequestLate", Severity::Debug,
+        "The caller of a request has received nothing for longer than its target." },
     { Event::UpstreamGeneration, "UpstreamGeneration", Severity::Warning, "The upstream has restarted." },
     { Event::UpstreamCold, "UpstreamCold", Severity::Warning,
         "The upstream is cold; its start-up limits apply again." },
--- a/src/libs/foundation/event.h
+++ b/src/libs/foundation/event.h
@@ -51,6 +51,7 @@
     AttemptInterrupted = 414,
     AttemptSilent = 415,
     SilenceEnded = 416,
+    RequestLate = 417,
     UpstreamGeneration = 500,
     UpstreamCold = 501,
     UpstreamDown = 502,
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -184,6 +184,12 @@
 
     int abandonedCallCount() const { return this->upstreamOne.abandonedCalls + this->upstreamTwo.abandonedCalls; }
 
+    bool isLateRequestCounted(const std::string& awaited)
+    {
+        return this->core.renderMetrics().find("bluebell_late_requests_total{waits_for=\"" + awaited + "\"}")
+            != std::string::npos;
+    }
+
     std::size_t startedRequestCount() const
     {
         return this->upstreamOne.startedRequests.size() + this->upstreamTwo.startedRequests.size();
@@ -756,6 +762,33 @@
     CHECK_TRUE(answer->body.ends_with("xxxx\n\n"));
 }
 
+TEST(GatewayTest, aCallThatIsLateAtItsUpstreamIsLogged)
+{
+    this->startGateway("app");
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::NeverAnswer;
+    this->call("/unsafe/x", "POST");
+    CHECK_TRUE(this->isLateRequestCounted("upstream"));
+}
+
+TEST(GatewayTest, aPromptThatIsLateInTheQueueIsLogged)
+{
+    this->startGateway("llm");
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::NeverAnswer;
+    for (int i = 0; i < 12; ++i)
+        this->send("/stream/x" + std::to_string(i), std::make_shared<Answer>(), "POST");
+    CHECK_TRUE(this->runUntil([this] { return this->isLateRequestCounted("queue"); }));
+}
+
+TEST(GatewayTest, aStreamThatIsLateForASlowCallerIsLogged)
+{
+    this->startGateway("llm");
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::AnswerLong;
+    const Platform::CallId call = this->send("/stream/x", std::make_shared<Answer>(), "POST");
+    CHECK_TRUE(this->runUntil([this] { return this->startedRequestCount() == 1; }));
+    this->callerTransfers.pause(call);
+    CHECK_TRUE(this->runUntil([this] { return this->isLateRequestCounted("caller"); }));
+}
+
 TEST(GatewayTest, theNextDocumentIsInForceAfterTheStoreCameBackFromAnOlderCopy)
 {
     this->store.takeCopy();
