--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -1,5 +1,6 @@
 #include "../unusedport.h"
 #include "gatewaycore.h"
+#include "listenfailure.h"
 #include "standinanswer.h"
 #include "standinstore.h"
 #include "standinupstream.h"
@@ -104,7 +105,7 @@
         this->store.start();
         this->upstreamOne.start();
         this->upstreamTwo.start();
-        this->callerServer.start([](const std::string&) {});
+        this->callerServer.start(throwListenFailure(this->context));
     }
 
     void startGateway(const std::string& service)
@@ -903,7 +904,7 @@
         this->store.start();
         for (const char* const topic : { "keyed.op", "keyed.servers", "keyed.suspects" })
             this->store.copyTopic(topic, fixture.store);
-        this->server.start([](const std::string&) {});
+        this->server.start(throwListenFailure(fixture.context));
         CHECK_TRUE(this->core.start().has_value());
         CHECK_TRUE(fixture.runUntil([this] { return this->core.isReady(); }));
         fixture.runFor(200ms);
--- a/tests/auto/gateway/tst_storesynchronizer.cpp
+++ b/tests/auto/gateway/tst_storesynchronizer.cpp
@@ -1,5 +1,6 @@
 #include "storesynchronizer.h"
 
+#include "../../standins/listenfailure.h"
 #include "../unusedport.h"
 
 #include <web/httpserver.h>
@@ -354,7 +355,7 @@
                 exchange->respond({ 200, "application/json", { { "Store-Era", era } },
                     R"({"items":[],"has_more":false,"end_offset":0})", false });
         });
-    store.start([](const std::string&) {});
+    store.start(throwListenFailure(this->context));
     const auto runUntilWrites = [&](std::size_t count) {
         for (int i = 0; i < 200 && writes.size() < count; ++i) {
             this->advance(20ms);
--- a/tests/auto/platform/tst_httptransfers.cpp
+++ b/tests/auto/platform/tst_httptransfers.cpp
@@ -1,3 +1,4 @@
+#include "../../standins/listenfailure.h"
 #include "../unusedport.h"
 
 #include <platform/httptransfers.h>
@@ -31,10 +32,7 @@
         [this](const std::shared_ptr<Web::HttpExchange>& exchange) { this->answer(*exchange); } };
     HttpTransfers transfers { this->context };
 
-    DisconnectingServer()
-    {
-        this->server.start([](const std::string&) {});
-    }
+    DisconnectingServer() { this->server.start(throwListenFailure(this->context)); }
 
     void answer(Web::HttpExchange& exchange)
     {
@@ -207,7 +205,7 @@
         [](const std::shared_ptr<Web::HttpExchange>& exchange) {
             exchange->respond({ 200, "text/plain", {}, exchange->request().body });
         } };
-    other.start([](const std::string&) {});
+    other.start(throwListenFailure(server.context));
     CHECK_TRUE(server.call("GET", Resend::Allowed).isSuccess());
     server.endsWithNextRequest = true;
     CHECK_TRUE(server.call("POST", Resend::Allowed, "body").outcome == CallOutcome::Broken);
--- a/tests/auto/platform/tst_logfollower.cpp
+++ b/tests/auto/platform/tst_logfollower.cpp
@@ -1,3 +1,4 @@
+#include "../../standins/listenfailure.h"
 #include "../unusedport.h"
 
 #include <platform/configurationfollower.h>
@@ -34,7 +35,7 @@
     explicit LogFixture(std::chrono::milliseconds retention = std::chrono::hours(1))
         : service(this->context, { retention, 1000 })
     {
-        this->server.start([](const std::string&) {});
+        this->server.start(throwListenFailure(this->context));
     }
 
     void runUntil(const std::function<bool()>& condition)
--- a/tests/auto/platformadapter/tst_storeclient.cpp
+++ b/tests/auto/platformadapter/tst_storeclient.cpp
@@ -1,3 +1,4 @@
+#include "../../standins/listenfailure.h"
 #include "../unusedport.h"
 #include "platform/storeclient.h"
 
@@ -81,7 +82,7 @@
             const nlohmann::json page = { { "items", { item } }, { "has_more", true }, { "end_offset", 2 } };
             exchange->respond({ 200, "application/json", {}, page.dump(), false });
         });
-    server.start([](const std::string&) {});
+    server.start(throwListenFailure(context));
     Platform::HttpTransfers transfers(context);
     StoreClient client(transfers, "127.0.0.1:" + std::to_string(port));
     std::optional<bool> isRead;
@@ -101,7 +102,7 @@
         context, { "127.0.0.1", port, 1 << 20 }, [&era](const std::shared_ptr<Web::HttpExchange>& exchange) {
             exchange->respond({ 200, "application/json", { { "Store-Era", era } }, "{}", false });
         });
-    server.start([](const std::string&) {});
+    server.start(throwListenFailure(context));
     Platform::HttpTransfers transfers(context);
     StoreClient client(transfers, "127.0.0.1:" + std::to_string(port));
     const std::vector<StoreCache::KeyedRecord> records { { "gateway", "address", 0 } };
--- a/tests/standins/standinstore.cpp
+++ b/tests/standins/standinstore.cpp
@@ -1,5 +1,7 @@
 #include "standinstore.h"
 
+#include "listenfailure.h"
+
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
@@ -56,7 +58,7 @@
 void StandinStore::start()
 {
     for (const Entrance& entrance : this->entrances)
-        entrance.server->start([](const std::string&) {});
+        entrance.server->start(throwListenFailure(this->context));
 }
 
 void StandinStore::put(const std::string& topic, const std::string& key, const std::string& value)
--- a/tests/standins/standinupstream.cpp
+++ b/tests/standins/standinupstream.cpp
@@ -1,5 +1,6 @@
 #include "standinupstream.h"
 
+#include "listenfailure.h"
 #include "standinanswer.h"
 
 namespace {
@@ -18,10 +19,7 @@
 {
 }
 
-void StandinUpstream::start()
-{
-    this->server.start([](const std::string&) {});
-}
+void StandinUpstream::start() { this->server.start(throwListenFailure(this->context)); }
 
 std::string StandinUpstream::entry(const std::string& service, bool isDraining) const
 {
