Find two crashing prompt parts that are lost at the same silent upstreams

(1) Crashes that one cause explains said nothing about the other, so dead0, found with 4 crashes, was released once dead1 explained these, while its requests still crashed upstreams. (2) Of two equally good candidates neither was taken, but the next weaker one with the same crashes was: the sound part a2b1, with 8.

Now a part with six crashes at three moments is a cause, whatever else explains them, unless its requests completed within a minute. A cause that was found stays one while it has enough crashes, unless the others explain all of these. A candidate that mostly shares the crashes of a better, ambiguous one is ambiguous as well. Evidence of innocence stays a request that runs to its end.

Not fully sticky: aWrongQuarantineEndsOnceABetterCauseIsKnown stays as it is, so a cause with 4 or 5 crashes is released if another explains all of them.

--- a/src/libs/quarantine/crashattribution.cpp
+++ b/src/libs/quarantine/crashattribution.cpp
@@ -20,6 +20,9 @@
 // one by chance, so two moments are enough only for many crashes under a part whose requests never ran to their end.
 constexpr std::size_t minimumMoments = 3;
 constexpr std::size_t minimumCrashesAtTwoMoments = 6;
+// A part whose requests never run to their end is a cause from so many crashes on, whatever else explains them:
+// upstreams that fall silent lose requests with all causes before one of them is known.
+constexpr std::size_t sufficientCrashes = 6;
 // A running upstream shows a sign of life to one of its requests within this time.
 constexpr Foundation::Duration maximumSilence = std::chrono::seconds(1);
 // The weight of a crash under a part with and without completions.
@@ -39,6 +42,11 @@
         return this->crashes.size() * (this->candidate.hasCompletedLately ? completedWeight : uncompletedWeight);
     }
 
+    std::size_t minimum() const
+    {
+        return this->candidate.hasCompletedLately ? minimumCrashesAfterCompletion : minimumCrashes;
+    }
+
     std::size_t minimumMomentCount() const
     {
         const bool areManyCrashes
@@ -46,9 +54,10 @@
         return areManyCrashes ? minimumMoments - 1 : minimumMoments;
     }
 
-    std::size_t minimum() const
+    bool isSufficient() const
     {
-        return this->candidate.hasCompletedLately ? minimumCrashesAfterCompletion : minimumCrashes;
+        return !this->candidate.hasCompletedLately && this->crashes.size() >= sufficientCrashes
+            && this->candidate.momentCount >= minimumMoments;
     }
 };
 
@@ -65,19 +74,25 @@
             this->crashesByPart, [](const auto& entry) { return entry.second.size() < minimumReportedCrashes; });
         for (const auto& [part, indices] : this->crashesByPart)
             this->completedLately[part] = hasCompletedLately(part);
+        this->allCrashesByPart = this->crashesByPart;
     }
 
-    std::vector<CrashCandidate> run()
+    std::vector<CrashCandidate> run(std::span<const std::vector<PromptPart>> earlierCauses)
     {
         std::vector<CrashCandidate> causes;
-        std::vector<Group> groups = this->makeGroups();
+        const std::vector<Group> allGroups = this->makeGroups();
+        std::vector<Group> groups = allGroups;
         for (auto cause = this->judge(groups); cause != groups.end(); cause = this->judge(groups)) {
             causes.push_back(cause->candidate);
             this->markExplained(*cause);
             groups = this->makeGroups();
         }
-        for (Group& group : groups)
-            causes.push_back(std::move(group.candidate));
+        this->addSufficientCauses(causes, allGroups);
+        this->addEarlierCauses(causes, earlierCauses);
+        for (Group& group : groups) {
+            if (!isListed(causes, group.candidate.parts))
+                causes.push_back(std::move(group.candidate));
+        }
         return causes;
     }
 
@@ -91,16 +106,22 @@
         std::vector<Group> groups;
         for (auto& [key, parts] : partsByCrashes) {
             std::ranges::sort(parts);
-            Group group { key.first, { std::move(parts), key.first.size(), 0, key.second, {}, {} } };
-            for (const std::size_t index : group.crashes)
-                group.candidate.lastCrashAt = std::max(group.candidate.lastCrashAt, this->crashes[index].detectedAt);
-            groups.push_back(std::move(group));
+            groups.push_back(this->makeGroup(std::move(parts), key.first, key.second));
         }
         std::ranges::sort(groups, std::ranges::greater(),
             [](const Group& group) { return std::pair(group.score(), group.candidate.lastCrashAt); });
         return groups;
     }
 
+    Group makeGroup(std::vector<PromptPart> parts, CrashIndices indices, bool hasCompletedLately) const
+    {
+        Group group { std::move(indices), { std::move(parts), 0, 0, hasCompletedLately, {}, {} } };
+        group.candidate.crashCount = group.crashes.size();
+        for (const std::size_t index : group.crashes)
+            group.candidate.lastCrashAt = std::max(group.candidate.lastCrashAt, this->crashes[index].detectedAt);
+        return group;
+    }
+
     // Sets the verdicts up to the first cause, and returns it.
     std::vector<Group>::iterator judge(std::vector<Group>& groups) const
     {
@@ -113,6 +134,20 @@
     }
 
     AttributionVerdict verdictOn(Group& group, const std::vector<Group>& groups) const
+    {
+        const AttributionVerdict verdict = this->verdictOnCrashes(group);
+        if (verdict != AttributionVerdict::Cause || group.isSufficient())
+            return verdict;
+        const bool isAmbiguous = std::ranges::any_of(groups, [&group](const Group& other) {
+            const bool isAsGood = other.score() == group.score()
+                || (other.score() > group.score() && other.candidate.verdict == AttributionVerdict::Ambiguous);
+            return &other != &group && isAsGood && overlapsMostly(group.crashes, other.crashes);
+        });
+        return isAmbiguous ? AttributionVerdict::Ambiguous : AttributionVerdict::Cause;
+    }
+
+    // Judges a group by its own crashes, whatever else explains them.
+    AttributionVerdict verdictOnCrashes(Group& group) const
     {
         if (group.crashes.size() < group.minimum())
             return AttributionVerdict::TooFewCrashes;
@@ -120,12 +155,8 @@
         for (const std::size_t index : group.crashes)
             counted.push_back(&this->crashes[index]);
         group.candidate.momentCount = countMoments(counted);
-        if (group.candidate.momentCount < group.minimumMomentCount())
-            return AttributionVerdict::SameMoment;
-        const bool isAmbiguous = std::ranges::any_of(groups, [&group](const Group& other) {
-            return &other != &group && other.score() == group.score() && overlapsMostly(group.crashes, other.crashes);
-        });
-        return isAmbiguous ? AttributionVerdict::Ambiguous : AttributionVerdict::Cause;
+        return group.candidate.momentCount < group.minimumMomentCount() ? AttributionVerdict::SameMoment
+                                                                        : AttributionVerdict::Cause;
     }
 
     static bool overlapsMostly(const CrashIndices& left, const CrashIndices& right)
@@ -145,9 +176,69 @@
             this->crashesByPart, [](const auto& entry) { return entry.second.size() < minimumReportedCrashes; });
     }
 
+    static bool isListed(std::span<const CrashCandidate> candidates, const std::vector<PromptPart>& parts)
+    {
+        return std::ranges::any_of(
+            candidates, [&parts](const CrashCandidate& candidate) { return candidate.parts == parts; });
+    }
+
+    // Adds the causes that are sufficient by themselves, although others explain their crashes.
+    void addSufficientCauses(std::vector<CrashCandidate>& causes, std::vector<Group> groups) const
+    {
+        for (Group& group : groups) {
+            if (isListed(causes, group.candidate.parts) || this->verdictOnCrashes(group) != AttributionVerdict::Cause
+                || !group.isSufficient())
+                continue;
+            group.candidate.verdict = AttributionVerdict::Cause;
+            causes.push_back(std::move(group.candidate));
+        }
+    }
+
+    // Adds the earlier causes that have enough crashes, unless the causes found now explain all of these.
+    void addEarlierCauses(
+        std::vector<CrashCandidate>& causes, std::span<const std::vector<PromptPart>> earlierCauses) const
+    {
+        CrashIndices explained;
+        for (const CrashCandidate& cause : causes) {
+            CrashIndices both;
+            std::ranges::set_union(explained, this->crashesWith(cause.parts), std::back_inserter(both));
+            explained = std::move(both);
+        }
+        for (const std::vector<PromptPart>& parts : earlierCauses) {
+            const bool hasCompletedLately = std::ranges::any_of(parts, [this](PromptPart part) {
+                const auto found = this->completedLately.find(part);
+                return found != this->completedLately.end() && found->second;
+            });
+            Group group = this->makeGroup(parts, this->crashesWith(parts), hasCompletedLately);
+            if (isListed(causes, parts) || std::ranges::includes(explained, group.crashes)
+                || this->verdictOnCrashes(group) != AttributionVerdict::Cause)
+                continue;
+            group.candidate.verdict = AttributionVerdict::Cause;
+            causes.push_back(std::move(group.candidate));
+        }
+    }
+
+    // The crashes at which all the parts occur, explained or not.
+    CrashIndices crashesWith(const std::vector<PromptPart>& parts) const
+    {
+        CrashIndices common;
+        for (const PromptPart part : parts) {
+            const auto found = this->allCrashesByPart.find(part);
+            if (found == this->allCrashesByPart.end())
+                return {};
+            CrashIndices both;
+            std::ranges::set_intersection(
+                part == parts.front() ? found->second : common, found->second, std::back_inserter(both));
+            common = std::move(both);
+        }
+        return common;
+    }
+
     std::span<const CountedCrash> crashes;
     /** The unexplained crashes of each part that has several, in ascending order. */
     std::unordered_map<PromptPart, CrashIndices> crashesByPart;
+    /** The same with the crashes that a cause explains. */
+    std::unordered_map<PromptPart, CrashIndices> allCrashesByPart;
     std::unordered_map<PromptPart, bool> completedLately;
 };
 
@@ -185,10 +276,10 @@
     return count;
 }
 
-std::vector<CrashCandidate> attributeCrashes(
-    std::span<const CountedCrash> crashes, const std::function<bool(PromptPart)>& hasCompletedLately)
+std::vector<CrashCandidate> attributeCrashes(std::span<const CountedCrash> crashes,
+    std::span<const std::vector<PromptPart>> earlierCauses, const std::function<bool(PromptPart)>& hasCompletedLately)
 {
-    return Attribution(crashes, hasCompletedLately).run();
+    return Attribution(crashes, hasCompletedLately).run(earlierCauses);
 }
 
 } // namespace Quarantine
--- a/src/libs/quarantine/crashattribution.h
+++ b/src/libs/quarantine/crashattribution.h
@@ -53,13 +53,16 @@
 
 /**
  * Finds the parts that explain the crashes best. The part with the most crashes is taken first; its crashes then say
- * nothing about the parts that merely occur beside it. Parts that cannot be told apart are taken together.
+ * nothing about the parts that merely occur beside it, unless one of these has so many crashes that it cannot be a
+ * bystander. Parts that cannot be told apart are taken together.
  * @param crashes the crashes that count, in any order; parts that have completed since a crash must not be listed
  * there.
+ * @param earlierCauses the parts of each cause found before. A cause that has enough crashes is found again unless
+ * others explain all of them.
  * @param hasCompletedLately returns whether a request with the part has run to its end lately.
  * @return the causes in the order in which they were taken, then the other parts that occur in several crashes.
  */
-std::vector<CrashCandidate> attributeCrashes(
-    std::span<const CountedCrash> crashes, const std::function<bool(PromptPart)>& hasCompletedLately);
+std::vector<CrashCandidate> attributeCrashes(std::span<const CountedCrash> crashes,
+    std::span<const std::vector<PromptPart>> earlierCauses, const std::function<bool(PromptPart)>& hasCompletedLately);
 
 } // namespace Quarantine
--- a/src/libs/quarantine/promptpartregistry.cpp
+++ b/src/libs/quarantine/promptpartregistry.cpp
@@ -357,7 +357,12 @@
         if (this->counts(record))
             counted.push_back({ record.aliveAt, record.detectedAt, this->makeCrash(name, record).parts });
     }
-    this->currentCandidates = attributeCrashes(counted, [this](PromptPart part) {
+    std::vector<std::vector<PromptPart>> earlierCauses;
+    for (const CrashCandidate& candidate : this->currentCandidates) {
+        if (candidate.verdict == AttributionVerdict::Cause)
+            earlierCauses.push_back(candidate.parts);
+    }
+    this->currentCandidates = attributeCrashes(counted, earlierCauses, [this](PromptPart part) {
         const auto found = this->lastCompletions.find(part);
         return found != this->lastCompletions.end() && this->clock.now() - found->second < completionLifetime;
     });
