Keep and tell which requests run to their end, so that new gateways do not refuse them

Cause: what tells such a call from one that crashes upstreams is that it completes. Completions were known only to the gateway at which they happened and, of a request that was a suspect just then, to those that were connected. So gateways that had all started anew knew the crashes, from the store and their own silent attempts, but not the completions; and a gateway that connected between a completion and the next crash was told of neither.

Change: a completion has an age. It is told with each crash notice of its request and to each gateway that connects, and two gateways of each failure domain store the repeated ones every five seconds at most; a gateway reads them once, at its start. For a minute only upstreams that have ended, not those that are merely silent, quarantine a request that has completed at least twice. A request that crashes upstreams never completes, so it is found as before.

Failed before: tst_gateway.cpp: Failure in TEST(GatewayCrashTest, aCallThatManySendAlikeIsNotRefusedAfterAllGatewaysWereKilledWhileUpstreamsAreSilent) CHECK_TRUE(later.body.find("CrashSuspected") == std::string::npos) failed and with the same line aGatewayThatHasJustStartedKnowsWhatCompletesAtOthersBeforeAnyCrash and aGatewayIsToldWithACrashThatItsRequestCompletesElsewhere; in tst_quarantine silentUpstreamsDoNotQuarantineARequestThatManySendAlikeAndThatCompletes: CHECK_TRUE(this->suspects.status("f") == QuarantineStatus::Suspect) failed

Changed test: possibleCrashesAreOpenNoticesUnlessTheRequestHasCompleted asks completions() for what recentlyCompleted() returned, which it replaces; the number expected is the same.

--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -5,6 +5,8 @@
 
 #include <asio/post.hpp>
 
+#include <set>
+
 namespace Gateway {
 
 namespace {
@@ -43,6 +45,8 @@
 constexpr Duration possibleCrashInterval = std::chrono::milliseconds(300);
 constexpr std::size_t maximumPossibleCrashes = 256;
 
+constexpr std::size_t maximumToldCompletions = 256;
+
 // The interval at which crash notices are compared with the list of upstreams.
 constexpr Duration crashConfirmationInterval = std::chrono::milliseconds(500);
 
@@ -58,6 +62,21 @@
     return message;
 }
 
+// A gateway at which the requests have not run must not count crashes against them that others can explain.
+Wire::SuspectNotice makeSuspectNotice(
+    const std::vector<CrashNotice>& notices, const Quarantine::SuspectRegistry& suspects)
+{
+    Wire::SuspectNotice message = makeSuspectNotice(notices);
+    std::set<std::string_view> fingerprints;
+    for (const CrashNotice& notice : notices) {
+        if (!fingerprints.insert(notice.fingerprint).second)
+            continue;
+        if (std::optional<Quarantine::RequestCompletion> completion = suspects.completion(notice.fingerprint))
+            message.completed.push_back(std::move(*completion));
+    }
+    return message;
+}
+
 Relay::RetryLimit makeRetryLimit(const PlatformAdapter::NodeSettings& node)
 {
     return { node.retryRatio, node.retryAllowance, node.retryWindow };
@@ -129,6 +148,10 @@
               [this] { return this->peers.domainRank(); } })
     , suspectWriter(this->storeSynchronizer.storeClient(), this->clock)
     , suspectStore(this->suspectWriter, this->clock, this->wallClock, this->suspects)
+    , completionStore(this->storeSynchronizer.storeClient(), this->clock, this->wallClock, this->suspects,
+          settings.node.failureDomain,
+          { [this] { return this->storeSynchronizer.isStoreReachable(); },
+              [this] { return this->peers.domainRank(); } })
     , partCrashStore(this->suspectWriter, this->clock, this->wallClock, this->promptParts)
     , partCrashes(this->clock, this->promptParts, this->partCrashStore,
           [this](const Wire::SuspectNotice& notice) { this->peers.broadcast(notice); })
@@ -194,6 +217,9 @@
 
 void GatewayCore::onPeerSuspects(const Wire::SuspectNotice& notice)
 {
+    // The crashes that are told with them happened later.
+    for (const Quarantine::RequestCompletion& completion : notice.completed)
+        this->suspects.recordCompletion(completion);
     for (const auto* const list : { &notice.crashes, &notice.possible }) {
         for (const CrashNotice& crash : *list) {
             if (!this->suspects.record(crash))
@@ -216,7 +242,7 @@
 {
     Wire::SuspectNotice snapshot = makeSuspectNotice(this->suspects.notices());
     // A gateway that has just started has seen no request complete.
-    snapshot.cleared = this->suspects.recentlyCompleted();
+    snapshot.completed = this->suspects.completions(maximumToldCompletions);
     this->partCrashes.addKnown(snapshot);
     return snapshot;
 }
@@ -236,7 +262,7 @@
         this->suspectStore.onRecorded(notice.fingerprint, /* isObservedHere */ true);
     }
     if (!urgent.empty())
-        this->peers.broadcast(makeSuspectNotice(urgent));
+        this->peers.broadcast(makeSuspectNotice(urgent, this->suspects));
 }
 
 void GatewayCore::flushPossibleCrashes()
@@ -245,7 +271,7 @@
     if (now < this->nextPossibleCrashFlush || this->unsentPossibleCrashes.empty())
         return;
     this->nextPossibleCrashFlush = now + possibleCrashInterval;
-    this->peers.broadcast(makeSuspectNotice(std::exchange(this->unsentPossibleCrashes, {})));
+    this->peers.broadcast(makeSuspectNotice(std::exchange(this->unsentPossibleCrashes, {}), this->suspects));
 }
 
 void GatewayCore::onExonerated(const std::string& fingerprint)
@@ -312,7 +338,7 @@
     this->partCrashes.confirmEnded(
         [&directory](std::string_view generation) { return directory.hasEndedUnexpectedly(generation); });
     if (!confirmed.empty())
-        this->peers.broadcast(makeSuspectNotice(confirmed));
+        this->peers.broadcast(makeSuspectNotice(confirmed, this->suspects));
     for (const CrashNotice& notice : confirmed) {
         this->logSuspect(notice, "generation ended");
         this->suspectStore.onRecorded(notice.fingerprint, /* isObservedHere */ false);
@@ -386,6 +412,7 @@
     this->flushPossibleCrashes();
     this->partCrashes.tick();
     this->suspectWriter.tick();
+    this->completionStore.tick();
     this->peers.tick();
     this->dispatcher.setPeerLoadAvailable(this->peers.isMajorityConnected());
     this->memoryLeases.tick();
--- a/src/apps/gateway/gatewaycore.h
+++ b/src/apps/gateway/gatewaycore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "completionstore.h"
 #include "gatewaysettings.h"
 #include "peerconnections.h"
 #include "proxiedrequest.h"
@@ -92,6 +93,7 @@
     StoreSynchronizer storeSynchronizer;
     SuspectTopicWriter suspectWriter;
     SuspectStore suspectStore;
+    CompletionStore completionStore;
     PartCrashStore partCrashStore;
     PartCrashExchange partCrashes;
     Dispatcher dispatcher;
--- a/src/apps/gateway/storesynchronizer.cpp
+++ b/src/apps/gateway/storesynchronizer.cpp
@@ -197,7 +197,7 @@
     if (follower.isReading || now < follower.nextRead)
         return false;
     // Crashes are read last and not during an outage, so that they add no calls to it.
-    if (&follower == &this->suspectFollower && (!this->peerFollower.isListed || this->peerFollower.isFailing))
+    if (&follower == &this->suspectFollower && !this->isStoreReachable())
         return false;
     const std::size_t rank = this->handlers.domainRank();
     if (!follower.isListed || rank == 0 || follower.isReadByAll)
--- a/src/apps/gateway/storesynchronizer.h
+++ b/src/apps/gateway/storesynchronizer.h
@@ -84,6 +84,9 @@
 
     PlatformAdapter::StoreClient& storeClient() { return this->store; }
 
+    /** Returns whether the last reads of the store succeeded, so that reads that can wait may be made. */
+    bool isStoreReachable() const { return this->peerFollower.isListed && !this->peerFollower.isFailing; }
+
 private:
     /** The state of reading one topic of the store. */
     struct Follower {
--- a/src/libs/quarantine/crashnotice.h
+++ b/src/libs/quarantine/crashnotice.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <foundation/clock.h>
+
 #include <cstdint>
 #include <string>
 
@@ -25,4 +27,13 @@
     auto operator<=>(const CrashNotice&) const = default;
 };
 
+/** A request that runs to its end, so that it crashes no upstreams. */
+struct RequestCompletion {
+    std::string fingerprint;
+    /** The time since it last ran to its end. */
+    Foundation::Duration age {};
+    /** How often it has run to its end since it was first seen to. */
+    std::size_t count = 0;
+};
+
 } // namespace Quarantine
--- a/src/libs/quarantine/suspectregistry.cpp
+++ b/src/libs/quarantine/suspectregistry.cpp
@@ -22,6 +22,10 @@
 // Several upstreams that fail at once may all hold a request that many callers send alike. It goes on to run, and the
 // next one that ends clears it.
 constexpr Duration completionLifetime = std::chrono::seconds(10);
+// A request that many callers send alike shares the fate of each upstream that ends, and completes nowhere while all of
+// them are silent. For this time only upstreams that have ended count against it, not those that are merely silent.
+constexpr Duration repeatedCompletionLifetime = std::chrono::seconds(60);
+constexpr std::size_t repeatedCompletions = 2;
 // A generation that another process named may not be listed here yet.
 constexpr Duration listingDelay = std::chrono::seconds(2);
 // Going through all suspects costs too much to be done with each notice.
@@ -192,9 +196,11 @@
 bool SuspectRegistry::exonerate(std::string_view fingerprint)
 {
     const TimePoint now = this->clock.now();
-    this->completions[std::string(fingerprint)] = now;
     if (now >= this->nextExpiry)
         this->removeExpired();
+    Completion& completion = this->completionByFingerprint[std::string(fingerprint)];
+    completion.at = now;
+    ++completion.count;
     const auto found = this->suspects.find(fingerprint);
     if (found == this->suspects.end())
         return false;
@@ -202,16 +208,45 @@
     return true;
 }
 
+void SuspectRegistry::recordCompletion(const RequestCompletion& told)
+{
+    const TimePoint now = this->clock.now();
+    const TimePoint completedAt = now - told.age;
+    if (told.age >= lifetimeOf({ completedAt, told.count }))
+        return;
+    if (now >= this->nextExpiry)
+        this->removeExpired();
+    Completion& completion = this->completionByFingerprint[told.fingerprint];
+    completion.at = std::max(completion.at, completedAt);
+    completion.count = std::max(completion.count, told.count);
+    const auto found = this->suspects.find(told.fingerprint);
+    if (found == this->suspects.end())
+        return;
+    std::erase_if(
+        found->second.crashes, [completedAt](const auto& entry) { return entry.second.recordedAt <= completedAt; });
+    if (found->second.crashes.empty())
+        this->suspects.erase(found);
+}
+
 QuarantineStatus SuspectRegistry::status(std::string_view fingerprint) const
 {
-    const std::size_t crashes = this->crashCount(fingerprint);
-    if (crashes == 0)
+    const auto found = this->suspects.find(fingerprint);
+    if (found == this->suspects.end() || this->crashCount(found->second) == 0)
         return QuarantineStatus::Clear;
+    const std::size_t crashes = this->quarantiningCrashCount(found->second, fingerprint);
     const bool isQuarantined = crashes >= this->crashLimit && !this->hasCompletedRecently(fingerprint)
-        && this->clock.now() - this->suspects.find(fingerprint)->second.lastNotice < this->quarantineTime(crashes);
+        && this->clock.now() - found->second.lastNotice < this->quarantineTime(crashes);
     return isQuarantined ? QuarantineStatus::Quarantined : QuarantineStatus::Suspect;
 }
 
+std::size_t SuspectRegistry::quarantiningCrashCount(const Suspect& suspect, std::string_view fingerprint) const
+{
+    if (!this->completesRepeatedly(fingerprint))
+        return this->crashCount(suspect);
+    return static_cast<std::size_t>(std::ranges::count_if(
+        suspect.crashes, [](const auto& entry) { return entry.second.certainty == CrashCertainty::Confirmed; }));
+}
+
 Duration SuspectRegistry::quarantineTime(std::size_t crashes) const
 {
     Duration time = initialQuarantineTime;
@@ -222,8 +257,20 @@
 
 bool SuspectRegistry::hasCompletedRecently(std::string_view fingerprint) const
 {
-    const auto found = this->completions.find(fingerprint);
-    return found != this->completions.end() && this->clock.now() - found->second < completionLifetime;
+    const auto found = this->completionByFingerprint.find(fingerprint);
+    return found != this->completionByFingerprint.end() && this->clock.now() - found->second.at < completionLifetime;
+}
+
+bool SuspectRegistry::completesRepeatedly(std::string_view fingerprint) const
+{
+    const auto found = this->completionByFingerprint.find(fingerprint);
+    return found != this->completionByFingerprint.end() && found->second.count >= repeatedCompletions
+        && this->clock.now() - found->second.at < repeatedCompletionLifetime;
+}
+
+Duration SuspectRegistry::lifetimeOf(const Completion& completion)
+{
+    return completion.count >= repeatedCompletions ? repeatedCompletionLifetime : completionLifetime;
 }
 
 std::size_t SuspectRegistry::crashCount(std::string_view fingerprint) const
@@ -285,14 +332,33 @@
     return open;
 }
 
-std::vector<std::string> SuspectRegistry::recentlyCompleted() const
+std::optional<RequestCompletion> SuspectRegistry::completion(std::string_view fingerprint) const
 {
-    std::vector<std::string> completed;
-    for (const auto& [fingerprint, suspect] : this->suspects) {
-        if (this->hasCompletedRecently(fingerprint))
-            completed.push_back(fingerprint);
+    const auto found = this->completionByFingerprint.find(fingerprint);
+    if (found == this->completionByFingerprint.end())
+        return std::nullopt;
+    const Duration age = this->clock.now() - found->second.at;
+    if (age >= lifetimeOf(found->second))
+        return std::nullopt;
+    return RequestCompletion { found->first, age, found->second.count };
+}
+
+std::vector<RequestCompletion> SuspectRegistry::completions(std::size_t maximum) const
+{
+    const TimePoint now = this->clock.now();
+    std::vector<RequestCompletion> known;
+    for (const auto& [fingerprint, completion] : this->completionByFingerprint) {
+        const Duration age = now - completion.at;
+        const bool isWanted = completion.count >= repeatedCompletions || this->suspects.contains(fingerprint);
+        if (isWanted && age < lifetimeOf(completion))
+            known.push_back({ fingerprint, age, completion.count });
     }
-    return completed;
+    if (known.size() <= maximum)
+        return known;
+    const auto end = known.begin() + static_cast<std::ptrdiff_t>(maximum);
+    std::ranges::nth_element(known, end, std::greater {}, &RequestCompletion::count);
+    known.erase(end, known.end());
+    return known;
 }
 
 bool SuspectRegistry::isValid(const Crash& crash) const
@@ -313,7 +379,8 @@
         std::erase_if(suspect.crashes, [this](const auto& entry) { return !this->isValid(entry.second); });
     std::erase_if(this->suspects,
         [now](const auto& entry) { return entry.second.crashes.empty() || now - entry.second.lastNotice >= lifetime; });
-    std::erase_if(this->completions, [now](const auto& entry) { return now - entry.second >= completionLifetime; });
+    std::erase_if(this->completionByFingerprint,
+        [now](const auto& entry) { return now - entry.second.at >= lifetimeOf(entry.second); });
     std::erase_if(this->generationCrashes,
         [now](const auto& entry) { return now - entry.second.recordedAt >= unconfirmedLifetime; });
     if (this->suspects.size() < maximumSuspects)
--- a/src/libs/quarantine/suspectregistry.h
+++ b/src/libs/quarantine/suspectregistry.h
@@ -114,8 +114,20 @@
      */
     std::vector<CrashNotice> openNotices(std::string_view fingerprint) const;
 
-    /** Returns the recorded requests that have run to their end so recently that they are not quarantined. */
-    std::vector<std::string> recentlyCompleted() const;
+    /**
+     * Records what another process knows of a request that has run to its end. Crashes that were recorded later stay.
+     */
+    void recordCompletion(const RequestCompletion& completion);
+
+    /** Returns what is known of a request's runs to its end, for other processes; none if it has not run lately. */
+    std::optional<RequestCompletion> completion(std::string_view fingerprint) const;
+
+    /**
+     * Returns the requests that have run to their end lately, for processes that start: those with crashes, and those
+     * that do so again and again.
+     * @param maximum the number of requests; those that complete most often come first.
+     */
+    std::vector<RequestCompletion> completions(std::size_t maximum) const;
 
     std::size_t size() const { return this->suspects.size(); }
 
@@ -138,8 +150,19 @@
         bool hasAnsweredSince = false;
     };
 
+    struct Completion {
+        Foundation::TimePoint at {};
+        std::size_t count = 0;
+    };
+
     void recordGenerationCrash(std::string_view crash);
+    /** Returns whether a request has run to its end so recently that it is not quarantined. */
     bool hasCompletedRecently(std::string_view fingerprint) const;
+    /** Returns whether many callers send a request that runs to its end, so that silence does not quarantine it. */
+    bool completesRepeatedly(std::string_view fingerprint) const;
+    static Foundation::Duration lifetimeOf(const Completion& completion);
+    /** Returns the number of crashes for which a request may be quarantined. */
+    std::size_t quarantiningCrashCount(const Suspect& suspect, std::string_view fingerprint) const;
     bool isValid(const Crash& crash) const;
     bool counts(const Crash& crash) const;
     std::size_t crashCount(const Suspect& suspect) const;
@@ -152,8 +175,8 @@
     std::size_t crashLimit;
     std::map<std::string, Suspect, std::less<>> suspects;
     std::map<std::string, GenerationCrash, std::less<>> generationCrashes;
-    /** When requests last ran to their end, by fingerprint; only recent ones. */
-    std::map<std::string, Foundation::TimePoint, std::less<>> completions;
+    /** Requests that ran to their end lately, by fingerprint. */
+    std::map<std::string, Completion, std::less<>> completionByFingerprint;
     Foundation::TimePoint nextExpiry {};
 };
 
--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -90,6 +90,14 @@
         this->object[key] = std::move(list);
     }
 
+    void operator()(const char* key, const std::vector<Quarantine::RequestCompletion>& completions)
+    {
+        Json list = Json::array();
+        for (const Quarantine::RequestCompletion& completion : completions)
+            list.push_back({ completion.fingerprint, Foundation::toMilliseconds(completion.age), completion.count });
+        this->object[key] = std::move(list);
+    }
+
     void operator()(const char* key, const std::vector<Placement::UpstreamUsage>& usages)
     {
         Json list = Json::array();
@@ -200,6 +208,16 @@
             completions.push_back({ item.at(0).get<std::uint64_t>(), item.at(1).get<std::int64_t>() });
     }
 
+    void operator()(const char* key, std::vector<Quarantine::RequestCompletion>& completions) const
+    {
+        const Json* const found = this->find(key);
+        if (!found)
+            return;
+        for (const Json& item : *found)
+            completions.push_back({ item.at(0).get<std::string>(),
+                std::chrono::milliseconds(item.at(1).get<std::int64_t>()), item.at(2).get<std::size_t>() });
+    }
+
     void operator()(const char* key, std::vector<Placement::UpstreamUsage>& usages) const
     {
         const Json* const found = this->find(key);
@@ -368,6 +386,7 @@
     visitor("partCrashes", m.partCrashes);
     visitor("partCompletions", m.partCompletions);
     visitor("partWithdrawn", m.partWithdrawn);
+    visitor("completed", m.completed);
 }
 
 template <typename V> void visit(V&& visitor, MessageOf<Offer> auto& m)
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -102,6 +102,8 @@
     std::vector<PartCompletionNotice> partCompletions {};
     /** Generations that were silent and have gone on, so that their possible crashes of parts did not happen. */
     std::vector<std::string> partWithdrawn {};
+    /** Requests that run to their end, for a process that has seen none do so. */
+    std::vector<Quarantine::RequestCompletion> completed {};
 };
 
 /** Reports that an upstream failed at the sender, so that other gateways can eject it before they fail there too. */
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -883,6 +883,21 @@
         this->runFor(time);
     }
 
+    void checkThatSilenceIsNotTakenForACrash()
+    {
+        std::vector<std::shared_ptr<Answer>> answers;
+        for (int i = 0; i < 2 * crashLimit; ++i) {
+            answers.push_back(std::make_shared<Answer>());
+            this->send("/unsafe/x", answers.back(), "POST");
+        }
+        // Until their upstreams have been silent for longer than sound ones.
+        this->runFor(4s);
+        for (const auto& answer : answers)
+            STRCMP_EQUAL("", answer->body.find("CrashSuspected") == std::string::npos ? "" : answer->body.c_str());
+        const Answer later = this->call("/unsafe/x", "POST");
+        CHECK_TRUE(later.body.find("CrashSuspected") == std::string::npos);
+    }
+
     void callUntilQuarantined(const std::string& path, const std::string& method)
     {
         for (int i = 0; i < 4 * crashLimit && this->call(path, method).body.find("CrashSuspected") == std::string::npos;
@@ -893,7 +908,7 @@
 // A gateway that starts with a copy of the store, so that it learns later records from its peers only.
 struct AnotherGateway {
     template <typename Fixture>
-    explicit AnotherGateway(Fixture& fixture, std::vector<std::string> seeds = {})
+    explicit AnotherGateway(Fixture& fixture, std::vector<std::string> seeds = {}, bool hasCompletions = true)
         : storePort(unusedPort())
         , port(unusedPort())
         , store(fixture.context, this->storePort)
@@ -904,6 +919,8 @@
         this->store.start();
         for (const char* const topic : { "keyed.op", "keyed.servers", "keyed.suspects" })
             this->store.copyTopic(topic, fixture.store);
+        if (hasCompletions)
+            this->store.copyTopic("keyed.completions", fixture.store);
         this->server.start(throwListenFailure(fixture.context));
         CHECK_TRUE(this->core.start().has_value());
         CHECK_TRUE(fixture.runUntil([this] { return this->core.isReady(); }));
@@ -1021,6 +1038,69 @@
     LONGS_EQUAL(200, this->call("/unsafe/x", "POST").result.status);
 }
 
+// The second gateway has a store of its own and no peers, as if the first had been killed.
+TEST(GatewayCrashTest, aCallThatManySendAlikeIsNotRefusedAfterAllGatewaysWereKilledWhileUpstreamsAreSilent)
+{
+    this->startGatewayWithUpstreams("app", UpstreamBehaviour::Answer);
+    for (int i = 0; i < 4; ++i)
+        LONGS_EQUAL(200, this->call("/unsafe/x", "POST").result.status);
+    CHECK_TRUE(this->runUntil([this] { return !this->store.keys("keyed.completions").empty(); }));
+    this->setBehaviour(UpstreamBehaviour::NeverAnswer);
+    const AnotherGateway restarted(*this);
+    this->gatewayPort = restarted.port;
+    this->checkThatSilenceIsNotTakenForACrash();
+}
+
+TEST(GatewayCrashTest, requestsThatCompleteAreStoredSeldomAndOnlyIfRepeated)
+{
+    this->startGatewayWithUpstreams("app", UpstreamBehaviour::Answer);
+    const auto appendsBefore = this->store.appends;
+    for (int i = 0; i < 4; ++i)
+        LONGS_EQUAL(200, this->call("/unsafe/" + std::to_string(i), "POST").result.status);
+    this->runFor(1'500ms);
+    LONGS_EQUAL(appendsBefore, this->store.appends);
+    for (int i = 0; i < 12; ++i) {
+        LONGS_EQUAL(200, this->call("/unsafe/x", "POST").result.status);
+        this->runFor(200ms);
+    }
+    LONGS_EQUAL(appendsBefore + 1, this->store.appends);
+}
+
+TEST(GatewayCrashTest, aGatewayThatStartsIgnoresMalformedCompletions)
+{
+    this->startGatewayWithUpstreams("app", UpstreamBehaviour::Answer);
+    for (const char* const value : { "x", "{}", R"({"writtenMs":1,"requests":[["f",1]]})" })
+        this->store.put("keyed.completions", std::string("a/") + value, value);
+    const AnotherGateway started(*this);
+    this->gatewayPort = started.port;
+    LONGS_EQUAL(200, this->call("/unsafe/x", "POST").result.status);
+}
+
+TEST(GatewayCrashTest, aGatewayThatHasJustStartedKnowsWhatCompletesAtOthersBeforeAnyCrash)
+{
+    this->startGatewayWithUpstreams("app", UpstreamBehaviour::Answer);
+    for (int i = 0; i < 4; ++i)
+        LONGS_EQUAL(200, this->call("/unsafe/x", "POST").result.status);
+    AnotherGateway started(*this, { this->settings.node.peerEndpoint.text() }, /* hasCompletions */ false);
+    this->runFor(500ms);
+    this->setBehaviour(UpstreamBehaviour::NeverAnswer);
+    this->gatewayPort = started.port;
+    this->checkThatSilenceIsNotTakenForACrash();
+}
+
+TEST(GatewayCrashTest, aGatewayIsToldWithACrashThatItsRequestCompletesElsewhere)
+{
+    this->startGatewayWithUpstreams("app", UpstreamBehaviour::Answer);
+    AnotherGateway other(*this, { this->settings.node.peerEndpoint.text() }, /* hasCompletions */ false);
+    this->runFor(500ms);
+    for (int i = 0; i < 4; ++i)
+        LONGS_EQUAL(200, this->call("/unsafe/x", "POST").result.status);
+    this->setBehaviour(UpstreamBehaviour::NeverAnswer);
+    this->checkThatSilenceIsNotTakenForACrash();
+    this->gatewayPort = other.port;
+    CHECK_TRUE(this->call("/unsafe/x", "POST").body.find("CrashSuspected") == std::string::npos);
+}
+
 TEST(GatewayCrashTest, aPromptPartThatCrashesUpstreamsIsRefusedAtAllGatewaysWhileOtherPartsRun)
 {
     this->startGatewayWithUpstreams("app", UpstreamBehaviour::CloseBeforeAnswer);
--- a/tests/auto/quarantine/tst_suspectregistry.cpp
+++ b/tests/auto/quarantine/tst_suspectregistry.cpp
@@ -158,5 +158,70 @@
     this->suspects.exonerate("f");
     this->suspects.record({ "f", "g3", CrashCertainty::Possible });
     UNSIGNED_LONGS_EQUAL(0, this->suspects.openNotices("f").size());
-    UNSIGNED_LONGS_EQUAL(1, this->suspects.recentlyCompleted().size());
+    UNSIGNED_LONGS_EQUAL(1, this->suspects.completions(8).size());
+}
+
+TEST(SuspectRegistry, silentUpstreamsDoNotQuarantineARequestThatManySendAlikeAndThatCompletes)
+{
+    for (int i = 0; i < 2; ++i)
+        this->suspects.exonerate("f");
+    this->clock.advance(std::chrono::seconds(11));
+    for (const char* const crash : { "x/1", "y/1", "z/1" }) {
+        this->suspects.record({ "f", crash, CrashCertainty::Suspected });
+        this->suspects.record({ "g", crash, CrashCertainty::Suspected });
+    }
+    CHECK_TRUE(this->suspects.status("f") == QuarantineStatus::Suspect);
+    CHECK_TRUE(this->suspects.status("g") == QuarantineStatus::Quarantined);
+    // Upstreams that have ended count, since a request may begin to crash them.
+    this->clock.advance(std::chrono::seconds(3));
+    this->suspects.confirmEnded([](std::string_view) { return false; });
+    CHECK_TRUE(this->suspects.status("f") == QuarantineStatus::Quarantined);
+}
+
+TEST(SuspectRegistry, aRequestThatNoLongerCompletesIsQuarantinedBySilence)
+{
+    for (int i = 0; i < 2; ++i)
+        this->suspects.exonerate("f");
+    this->clock.advance(std::chrono::seconds(61));
+    for (const char* const crash : { "x/1", "y/1" })
+        this->suspects.record({ "f", crash, CrashCertainty::Suspected });
+    CHECK_TRUE(this->suspects.status("f") == QuarantineStatus::Quarantined);
+}
+
+TEST(SuspectRegistry, aCompletionThatIsToldCountsFromItsOwnTime)
+{
+    SuspectRegistry started(this->clock);
+    for (int i = 0; i < 2; ++i)
+        this->suspects.exonerate("f");
+    this->suspects.exonerate("once");
+    this->clock.advance(std::chrono::seconds(9));
+    const std::vector<RequestCompletion> known = this->suspects.completions(8);
+    UNSIGNED_LONGS_EQUAL(1, known.size());
+    started.recordCompletion(known.front());
+    for (const char* const crash : { "x/1", "y/1" })
+        started.record({ "f", crash });
+    CHECK_TRUE(started.status("f") == QuarantineStatus::Suspect);
+    this->clock.advance(std::chrono::seconds(2));
+    CHECK_TRUE(started.status("f") == QuarantineStatus::Quarantined);
+}
+
+TEST(SuspectRegistry, aCompletionThatIsToldLaterDoesNotRemoveCrashesSince)
+{
+    this->suspects.record({ "f", "x/1" });
+    this->clock.advance(std::chrono::seconds(2));
+    this->suspects.record({ "f", "y/1" });
+    this->suspects.recordCompletion({ "f", std::chrono::seconds(1), 1 });
+    UNSIGNED_LONGS_EQUAL(1, this->suspects.crashCount("f"));
+}
+
+TEST(SuspectRegistry, tellsTheRequestsThatCompleteMostOften)
+{
+    for (int i = 0; i < 5; ++i) {
+        for (int runs = 0; runs < i + 2; ++runs)
+            this->suspects.exonerate(std::to_string(i));
+    }
+    const std::vector<RequestCompletion> known = this->suspects.completions(2);
+    UNSIGNED_LONGS_EQUAL(2, known.size());
+    for (const RequestCompletion& completion : known)
+        CHECK_TRUE(completion.count >= 5);
 }
--- a/tests/auto/wire/tst_codec.cpp
+++ b/tests/auto/wire/tst_codec.cpp
@@ -130,6 +130,16 @@
     STRCMP_EQUAL("u/2", decoded.partWithdrawn.at(0).c_str());
 }
 
+TEST(Codec, preservesCompletionsOfRequests)
+{
+    SuspectNotice notice;
+    notice.completed = { { "f", std::chrono::milliseconds(40), 3 } };
+    const SuspectNotice decoded = roundTrip(notice);
+    STRCMP_EQUAL("f", decoded.completed.at(0).fingerprint.c_str());
+    CHECK_TRUE(decoded.completed.at(0).age == std::chrono::milliseconds(40));
+    UNSIGNED_LONGS_EQUAL(3, decoded.completed.at(0).count);
+}
+
 TEST(Codec, preservesSuspects)
 {
     const SuspectNotice decoded = roundTrip(SuspectNotice { { { "f", "c" } }, { "g" }, {}, {} });
