Keep the current attempt open when a silent upstream goes on, until one of them delivers

What callers saw: the first upstream was silent, then sent the head of its answer and nothing more; the second one, which was at work, was cancelled at that head, and the caller got 504.

Cause, the class of the incident: the first sign of life of a parked attempt was taken as its answer. Change: the current attempt is parked then, as a silent one is, unless it was rejected, not sent or holds memory at other engines. Whichever sends data next is the current one; the first event or the end of an answer ends the others. An upstream that was not late is not reported as one that has gone on (event 416), and is not watched when its attempt is dropped.

No check is changed; the stand-in has one behaviour more.

--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -620,7 +620,8 @@
     if (this->hasEnded || !this->findParkedAttempt(attemptNumber))
         return false;
     this->returnToParkedAttempt(attemptNumber);
-    this->context.onSilenceEnded(this->attempt->assignment.upstreamGeneration);
+    if (this->isLate(*this->attempt))
+        this->context.onSilenceEnded(this->attempt->assignment.upstreamGeneration);
     return true;
 }
 
@@ -633,9 +634,7 @@
         this->context.dispatcher.withdraw(this->queuedPromptId);
     this->queuedPromptId = 0;
     this->giveUnsentRetryBack();
-    if (this->attempt && this->attempt->call != 0 && !this->attempt->isRejected())
-        ++this->runs;
-    this->closeAttempt(std::nullopt);
+    this->setCurrentAttemptAside();
     this->attempt = std::move(resumed->attempt);
     this->events = std::move(resumed->events);
     this->currentAttemptNumber = resumed->number;
@@ -644,21 +643,39 @@
     this->attempt->failoverNotBefore = this->context.clock.now() + failoverRepeatInterval;
 }
 
-void ProxiedRequest::parkSilentAttempt()
+void ProxiedRequest::setCurrentAttemptAside()
 {
-    const std::string generation = this->attempt->assignment.upstreamGeneration;
+    const bool isWorking = this->attempt && this->attempt->call != 0 && !this->attempt->isRejected();
+    if (isWorking)
+        ++this->runs;
+    // The upstream that has gone on may fall silent again before it has delivered anything.
+    if (isWorking && this->attempt->memoryReservation == 0)
+        this->parkAttempt();
+    else
+        this->closeAttempt(std::nullopt);
+}
+
+void ProxiedRequest::parkAttempt()
+{
+    this->criteria.triedGenerations.insert(this->attempt->assignment.upstreamGeneration);
     this->parkedAttempts.push_back({ this->currentAttemptNumber, std::move(*this->attempt), this->events });
     this->attempt.reset();
     this->currentAttemptNumber = ++this->lastAttemptNumber;
+}
+
+void ProxiedRequest::parkSilentAttempt()
+{
+    const std::string generation = this->attempt->assignment.upstreamGeneration;
+    this->parkAttempt();
     this->recordObservation(generation, Observation::Silent);
-    this->criteria.triedGenerations.insert(generation);
 }
 
 void ProxiedRequest::dropParkedAttempts()
 {
     std::vector<ParkedAttempt> droppedAttempts = std::exchange(this->parkedAttempts, {});
     for (ParkedAttempt& dropped : droppedAttempts) {
-        this->watchSilentAttempt(dropped.attempt, dropped.number);
+        if (this->isLate(dropped.attempt))
+            this->watchSilentAttempt(dropped.attempt, dropped.number);
         this->releaseAttempt(dropped.attempt, std::nullopt);
     }
 }
@@ -1194,6 +1211,11 @@
         || (silence >= this->expectedSilence(*this->attempt) && this->isUpstreamDoubtful(*this->attempt));
 }
 
+bool ProxiedRequest::isLate(const Attempt& silent) const
+{
+    return this->context.clock.now() - silent.lastDataAt >= this->expectedSilence(silent);
+}
+
 TimePoint ProxiedRequest::crashSuspectedFrom(const Attempt& silent) const
 {
     // What a doubtful upstream sent before its end says nothing.
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -110,7 +110,7 @@
     bool isRejected() const { return this->headers.isNotExecuted; }
 };
 
-/** An attempt whose upstream is silent and that may go on, while the request is tried elsewhere. */
+/** An attempt that may go on while another one is the current one; most have a silent upstream. */
 struct ParkedAttempt {
     std::uint64_t number = 0;
     Attempt attempt;
@@ -167,12 +167,16 @@
      * Returns whether it is the current attempt now.
      */
     bool resumeParkedAttempt(std::uint64_t attemptNumber);
-    /** Continues with a parked attempt, whose upstream may still go on. Ends the current attempt. */
+    /** Continues with a parked attempt, whose upstream may still go on. Parks the current attempt if it is at work. */
     void returnToParkedAttempt(std::uint64_t attemptNumber);
     const ParkedAttempt* findParkedAttempt(std::uint64_t attemptNumber) const;
     /** Removes a parked attempt from the list and returns it; none if there is none with this number. */
     std::optional<ParkedAttempt> takeParkedAttempt(std::uint64_t attemptNumber);
+    /** Parks the current attempt, whose upstream has not delivered anything, or ends it if it is not at work. */
+    void setCurrentAttemptAside();
     /** Sets the current attempt aside, so that its answer can still be used if its upstream goes on soon. */
+    void parkAttempt();
+    /** Parks the current attempt and records the silence of its upstream. */
     void parkSilentAttempt();
     /** Gives the parked attempts up; their calls are watched to see whether their upstreams go on. */
     void dropParkedAttempts();
@@ -240,6 +244,8 @@
     bool isUpstreamDoubtful(const Attempt& silent) const;
     /** Returns whether the upstream of the current attempt has been silent for longer than it is expected to be. */
     bool isUpstreamSilent(Foundation::TimePoint now) const;
+    /** Returns whether the upstream of an attempt has been silent for longer than if it were as fast as expected. */
+    bool isLate(const Attempt& silent) const;
     /** Returns from when on the silence of an attempt counts as a crash of its upstream. */
     Foundation::TimePoint crashSuspectedFrom(const Attempt& silent) const;
     /** Returns after which silence the work of an attempt does not explain it any more. */
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -390,6 +390,32 @@
     STRCMP_CONTAINS("id: 5\n", answer.body.c_str());
 }
 
+TEST(GatewayTest, aSilentUpstreamThatSendsOnlyAHeadDoesNotEndTheCallAtAnotherUpstream)
+{
+    this->startGateway("app");
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::SendHeadAfterSilence;
+    this->upstreamOne.silence = this->upstreamTwo.silence = 600ms;
+    const auto answer = std::make_shared<Answer>();
+    this->send("/patient/x", answer);
+    CHECK_TRUE(this->runUntil([this] { return this->startedRequestCount() == 1; }));
+    this->otherUpstream().behaviour = UpstreamBehaviour::AnswerAfterSilence;
+    CHECK_TRUE(this->runUntil([&] { return answer->isFinished; }));
+    LONGS_EQUAL(200, answer->result.status);
+    STRCMP_CONTAINS("id: 5\n", answer->body.c_str());
+    CHECK_TRUE(this->runUntil([this] { return this->abandonedCallCount() == 1; }, 500ms));
+}
+
+TEST(GatewayTest, aSilentUpstreamThatSendsOnlyAHeadDoesNotEndTheStreamAtAnotherUpstream)
+{
+    this->startGateway("llm");
+    const Answer answer = this->callStreamAtTwoUpstreams(
+        UpstreamBehaviour::SendHeadAfterSilence, UpstreamBehaviour::AnswerAfterSilence);
+    LONGS_EQUAL(200, answer.result.status);
+    CHECK_TRUE(answer.result.outcome == Platform::CallOutcome::Complete);
+    STRCMP_CONTAINS("id: 1\n", answer.body.c_str());
+    STRCMP_CONTAINS("id: 5\n", answer.body.c_str());
+}
+
 TEST(GatewayTest, aCallThatReturnedToASilentUpstreamIsRunAgainIfThatOneBreaks)
 {
     this->startGateway("app");
@@ -569,6 +595,17 @@
     LONGS_EQUAL(200, answer->result.status);
 }
 
+TEST(GatewayTest, aCallerWhoLeavesEndsBothAttemptsOfItsCall)
+{
+    this->startGateway("app");
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::NeverAnswer;
+    const auto answer = std::make_shared<Answer>();
+    const Platform::CallId call = this->send("/patient/x", answer);
+    CHECK_TRUE(this->runUntil([this] { return this->startedRequestCount() == 2; }));
+    this->callerTransfers.cancel(call);
+    CHECK_TRUE(this->runUntil([this] { return this->abandonedCallCount() == 2; }, 500ms));
+}
+
 TEST(GatewayTest, aSilentUpstreamDoesNotGoOnWithACallThatWasAnsweredElsewhere)
 {
     this->startGateway("app");
--- a/tests/standins/standinupstream.cpp
+++ b/tests/standins/standinupstream.cpp
@@ -74,6 +74,7 @@
     case UpstreamBehaviour::RejectAfterSilence:
     case UpstreamBehaviour::AnswerErrorAfterSilence:
     case UpstreamBehaviour::CloseAfterSilence:
+    case UpstreamBehaviour::SendHeadAfterSilence:
         this->answerAfterSilence(exchange, last.empty() ? 1 : std::stoi(std::string(last)) + 1);
         break;
     case UpstreamBehaviour::NeverAnswer:
@@ -121,7 +122,13 @@
             exchange->respond(makeSignedReply(exchange->request(), 500, "failed"));
         else if (chosen == UpstreamBehaviour::CloseAfterSilence)
             exchange->abort();
-        else
+        else if (chosen == UpstreamBehaviour::SendHeadAfterSilence) {
+            Web::HttpReply head = makeSignedReply(exchange->request(), 200, "");
+            head.contentType = "text/event-stream";
+            exchange->setDisconnectHandler([this] { ++this->abandonedCalls; });
+            exchange->beginStream(head);
+            this->unansweredExchanges.push_back(exchange);
+        } else
             this->answerStream(*exchange, firstEvent);
     });
 }
--- a/tests/standins/standinupstream.h
+++ b/tests/standins/standinupstream.h
@@ -42,6 +42,8 @@
     AnswerErrorAfterSilence,
     /** Falls silent, and closes the connection after its silence. */
     CloseAfterSilence,
+    /** Falls silent, sends the head of a stream after its silence, and nothing more. */
+    SendHeadAfterSilence,
 };
 
 /** How long a sound upstream falls silent. */
