Log and count the possible crashes that a broken connection makes suspected ones

What a reader of the log missed: OPERATIONS.md says that event 610 names each crash that counts, but a request whose possible crash was raised because another connection of its upstream broke or was refused became a suspect without a line and without bluebell_suspects_total; only gateways that were told logged it.

Change: GatewayCore logs and counts them, with ending=upstream down.

aRequestThatRanAtAnUpstreamWhoseOtherConnectionsBreakIsLoggedAsASuspect failed before: tst_gateway.cpp:353: CHECK_TRUE(isCounted()) failed

--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -119,7 +119,7 @@
                   if (!notice.isRefused)
                       return;
                   this->health.recordPeerRefusal(notice.generation, this->clock.now());
-                  this->suspects.suspectGeneration(notice.generation);
+                  this->suspectGeneration(notice.generation);
                   this->partCrashes.onUpstreamReported(notice.generation);
               },
               [this] { return this->ledger.ownUsage(); }, [this] { return this->makeSuspectSnapshot(); },
@@ -162,6 +162,7 @@
         this->partCrashes, this->answerMemory, this->memoryLeases,
         [this](bool isAdded) { this->onLoadChanged(isAdded); },
         [this](const std::vector<CrashNotice>& notices) { this->onOwnSuspects(notices); },
+        [this](const std::string& generation) { this->onOwnSuspects(this->suspectGeneration(generation)); },
         [this](const CrashNotice& notice) {
             this->peers.broadcast(Wire::SuspectNotice { {}, {}, {}, { notice } });
         },
@@ -305,7 +306,7 @@
         this->logSuspect(notice, "silent");
         this->onOwnSuspects({ notice });
     }
-    this->onOwnSuspects(this->suspects.suspectGeneration(attempt.generation));
+    this->onOwnSuspects(this->suspectGeneration(attempt.generation));
     this->partCrashes.onUpstreamDown(attempt.generation);
 }
 
@@ -345,6 +346,16 @@
     }
 }
 
+std::vector<CrashNotice> GatewayCore::suspectGeneration(const std::string& generation)
+{
+    std::vector<CrashNotice> raised = this->suspects.suspectGeneration(generation);
+    for (const CrashNotice& notice : raised) {
+        this->metrics.counter("bluebell_suspects_total", "ending=\"upstream down\"").fetch_add(1);
+        this->logSuspect(notice, "upstream down");
+    }
+    return raised;
+}
+
 void GatewayCore::logSuspect(const CrashNotice& notice, std::string_view ending) const
 {
     logEvent(Event::SuspectAdded, "",
--- a/src/apps/gateway/gatewaycore.h
+++ b/src/apps/gateway/gatewaycore.h
@@ -69,6 +69,8 @@
     void checkWatchedAttempts();
     /** Tells the other gateways of the possible crashes that were recorded since the last call. */
     void flushPossibleCrashes();
+    /** Raises the possible crashes of a generation to suspected ones. @return the raised ones. */
+    std::vector<Quarantine::CrashNotice> suspectGeneration(const std::string& generation);
     void logSuspect(const Quarantine::CrashNotice& notice, std::string_view ending) const;
     void applyLimits();
     bool canStop(Foundation::TimePoint now) const;
--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -873,7 +873,7 @@
     const bool isRefused = observation == Observation::Refused;
     // Attempts that ended before this one for other reasons may have met the same crash.
     if (isRefused || observation == Observation::Broken) {
-        this->context.onSuspects(this->context.suspects.suspectGeneration(generation));
+        this->context.onUpstreamDown(generation);
         this->context.partCrashes.onUpstreamDown(generation);
     }
     if (!this->context.health.recordObservation(generation, observation, now))
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -52,6 +52,8 @@
     std::function<void(bool isAdded)> onLoadChanged;
     /** Called with new or more certain crash notices, to be sent to the other gateways and stored. */
     std::function<void(const std::vector<Quarantine::CrashNotice>&)> onSuspects;
+    /** Called with the generation of an upstream that has broken or refused a connection. */
+    std::function<void(const std::string& generation)> onUpstreamDown;
     /** Called with a possible crash that was announced and whose attempt has not run. */
     std::function<void(const Quarantine::CrashNotice&)> onSuspectWithdrawn;
     /** Called with the generation of an upstream that was silent and has gone on. */
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -355,6 +355,21 @@
         [this] { return this->core.renderMetrics().find("bluebell_suspects_total") != std::string::npos; }));
 }
 
+TEST(GatewayTest, aRequestThatRanAtAnUpstreamWhoseOtherConnectionsBreakIsLoggedAsASuspect)
+{
+    this->startGateway("app");
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::NeverAnswer;
+    LONGS_EQUAL(504, this->call("/unsafe/x", "POST").result.status);
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::CloseBeforeAnswer;
+    const auto isCounted = [this] {
+        return this->core.renderMetrics().find("bluebell_suspects_total{ending=\"upstream down\"}")
+            != std::string::npos;
+    };
+    for (int i = 0; i < 5 && !isCounted(); ++i)
+        this->call("/unsafe/y" + std::to_string(i), "POST");
+    CHECK_TRUE(isCounted());
+}
+
 TEST(GatewayTest, aSlowCallAtAnUpstreamThatAnswersOtherRequestsIsNoSuspect)
 {
     this->startGateway("app");
