Resend a call whose long body cannot be sent because its connection was closed as idle

Cause: an upstream may close an idle connection at the moment at which a request comes on it. libcurl sends the request again by itself if it fails to receive on a reused connection, but not if it fails to send, which is what happens while a long body is on its way.

Change: HttpTransfers sends such a call once more on a new connection, under the conditions under which libcurl would: a reused connection, no byte of an answer, and Resend::Allowed. Its timeout goes on.

resendsACallWithALongBodyWhenItsReusedConnectionIsClosedAsIdle and aCallWithALongBodyIsResentOnlyOnce failed before: tst_httptransfers.cpp:279: expected <> but was <Failed sending data to the peer> tst_httptransfers.cpp:290: expected <2 (0x2)> but was <1 (0x1)> tst_platform 23 of 23 with the change.

--- a/src/libs/platform/httptransfers.cpp
+++ b/src/libs/platform/httptransfers.cpp
@@ -56,6 +56,8 @@
     std::function<void(std::string part)> deliver;
     /** Whether a connection was established on which libcurl began to send the call. */
     bool wasSent = false;
+    /** Whether the call was sent again on a new connection. */
+    bool isResent = false;
 };
 
 std::string answerContentType(CURL* easy)
@@ -514,8 +516,33 @@
         }
     }
 
+    // libcurl resends a call when it fails to receive on a reused connection that was closed as idle, but not when it
+    // fails to send a long body on it.
+    bool resendIfClosedAsIdle(Transfer& transfer, CURLcode code)
+    {
+        CURL* const easy = transfer.easy.get();
+        long newConnections = 0;
+        curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &newConnections);
+        const bool isReused = newConnections == 0;
+        if (code != CURLE_SEND_ERROR || !isReused || transfer.isResent || transfer.headBytes > 0
+            || transfer.call.resend == Resend::Never)
+            return false;
+        curl_off_t elapsedMicroseconds = 0;
+        curl_easy_getinfo(easy, CURLINFO_TOTAL_TIME_T, &elapsedMicroseconds);
+        transfer.isResent = true;
+        transfer.call.timeout -= std::chrono::microseconds(elapsedMicroseconds);
+        curl_multi_remove_handle(this->multi, easy);
+        transfer.easy.reset(curl_easy_init());
+        setOptions(transfer);
+        curl_easy_setopt(transfer.easy.get(), CURLOPT_FRESH_CONNECT, 1L);
+        curl_multi_add_handle(this->multi, transfer.easy.get());
+        return true;
+    }
+
     void finish(Transfer& transfer, CURLcode code)
     {
+        if (this->resendIfClosedAsIdle(transfer, code))
+            return;
         deliverResult(transfer, code);
         curl_multi_remove_handle(this->multi, transfer.easy.get());
         const auto found = this->active.find(transfer.id);
--- a/tests/auto/platform/tst_httptransfers.cpp
+++ b/tests/auto/platform/tst_httptransfers.cpp
@@ -68,6 +68,84 @@
     }
 };
 
+/** Answers one request on a connection and closes it some time after the head of the next one has come. */
+struct IdleClosingServer {
+    asio::io_context context { 1 };
+    asio::ip::tcp::acceptor acceptor { this->context, { asio::ip::make_address("127.0.0.1"), 0 } };
+    HttpTransfers transfers { this->context };
+    int connectionCount = 0;
+    /** Closes new connections after their first head. */
+    bool closesAll = false;
+
+    IdleClosingServer() { this->accept(); }
+
+    struct Connection {
+        explicit Connection(asio::ip::tcp::socket accepted)
+            : socket(std::move(accepted))
+            , timer(this->socket.get_executor())
+        {
+        }
+
+        asio::ip::tcp::socket socket;
+        asio::steady_timer timer;
+        std::string received;
+    };
+
+    void accept()
+    {
+        this->acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket accepted) {
+            if (error)
+                return;
+            ++this->connectionCount;
+            const auto connection = std::make_shared<Connection>(std::move(accepted));
+            if (this->closesAll)
+                this->closeAfterHead(connection);
+            else
+                this->answer(connection);
+            this->accept();
+        });
+    }
+
+    void answer(const std::shared_ptr<Connection>& connection)
+    {
+        asio::async_read_until(connection->socket, asio::dynamic_buffer(connection->received), "end",
+            [this, connection](const asio::error_code& error, std::size_t) {
+                if (error)
+                    return;
+                connection->received.clear();
+                asio::write(connection->socket, asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 38));
+                this->closeAfterHead(connection);
+            });
+    }
+
+    void closeAfterHead(const std::shared_ptr<Connection>& connection)
+    {
+        asio::async_read_until(connection->socket, asio::dynamic_buffer(connection->received), "\r\n\r\n",
+            [connection](const asio::error_code& error, std::size_t) {
+                if (error)
+                    return;
+                connection->timer.expires_after(std::chrono::milliseconds(50));
+                connection->timer.async_wait([connection](const asio::error_code&) { connection->socket.close(); });
+            });
+    }
+
+    HttpCallResult post(const std::string& body)
+    {
+        std::optional<HttpCallResult> result;
+        HttpCall call;
+        call.method = "POST";
+        call.url = "http://127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port()) + "/";
+        call.body = body + "end";
+        call.timeout = testTimeout;
+        this->transfers.fetch(std::move(call), [&result](HttpCallResult received) { result = std::move(received); });
+        const auto deadline = std::chrono::steady_clock::now() + testTimeout;
+        while (!result && std::chrono::steady_clock::now() < deadline)
+            this->context.run_one_for(std::chrono::milliseconds(100));
+        CHECK_TRUE(result.has_value());
+        return *result;
+    }
+};
+
 /** Sends fixed bytes as the answer to each request and closes the connection in order. */
 struct RawServer {
     asio::io_context context { 1 };
@@ -189,6 +267,27 @@
     }
 }
 
+// An upstream may close an idle connection although a request has just come on it, of which it reads nothing.
+TEST(HttpTransfers, resendsACallWithALongBodyWhenItsReusedConnectionIsClosedAsIdle)
+{
+    for (int round = 0; round < 20; ++round) {
+        IdleClosingServer server;
+        CHECK_TRUE(server.post("body").isSuccess());
+        const HttpCallResult result = server.post(std::string(20'000'000, 'x'));
+        STRCMP_EQUAL("", result.error.c_str());
+        LONGS_EQUAL(2, server.connectionCount);
+    }
+}
+
+TEST(HttpTransfers, aCallWithALongBodyIsResentOnlyOnce)
+{
+    IdleClosingServer server;
+    CHECK_TRUE(server.post("body").isSuccess());
+    server.closesAll = true;
+    CHECK_TRUE(server.post(std::string(20'000'000, 'x')).outcome == CallOutcome::Broken);
+    LONGS_EQUAL(2, server.connectionCount);
+}
+
 TEST(HttpTransfers, aCallThatWasSentIsNotReportedAsNotConnectedWhenItsResendIsRefused)
 {
     DisconnectingServer server;
@@ -271,7 +370,7 @@
 
 TEST(HttpTransfers, aBodyThatDoesNotEndIsBrokenOffAtItsLimit)
 {
-    RawServer server("HTTP/1.1 200 OK\r\n\r\n" + std::string(2'000'000, 'x'));
+    RawServer server("HTTP/1.1 200 OK\r\n\r\n" + std::string(20'000'000, 'x'));
     const HttpCallResult result = server.run([&server](HttpCall call, ResultHandler onDone) {
         call.maximumBodyBytes = 100'000;
         server.transfers.fetch(std::move(call), std::move(onDone));
