--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -562,9 +562,10 @@
     this->context.onSilenceEnded(watched->generation);
 }
 
-void ProxiedRequest::onLateBreak(std::uint64_t attemptNumber)
+void ProxiedRequest::onLateBreak(std::uint64_t attemptNumber, std::string_view error)
 {
     if (const auto broken = this->takeParkedAttempt(attemptNumber)) {
+        this->logLateBreak(broken->attempt.assignment.upstreamGeneration, error);
         this->recordCrash(broken->attempt, Quarantine::CrashCertainty::Suspected, "broken");
         this->releaseAttempt(broken->attempt, Observation::Broken);
         return;
@@ -574,8 +575,16 @@
         return;
     const auto watched = this->context.silenceWatch.take(found->second);
     this->watchedCalls.erase(found);
-    if (watched)
-        this->context.onSilentCrash(*watched);
+    if (!watched)
+        return;
+    this->logLateBreak(watched->generation, error);
+    this->context.onSilentCrash(*watched);
+}
+
+void ProxiedRequest::logLateBreak(const std::string& generation, std::string_view error) const
+{
+    logEvent(Event::AttemptFinished, this->request.id,
+        "upstream=" + generation + " ending=broken after its silence error=" + std::string(error));
 }
 
 void ProxiedRequest::onLateNotConnected(std::uint64_t attemptNumber, Observation observation)
@@ -717,7 +726,7 @@
         else if (result.outcome == Platform::CallOutcome::NotConnected)
             this->onLateNotConnected(attemptNumber, unconnectedObservation);
         else
-            this->onLateBreak(attemptNumber);
+            this->onLateBreak(attemptNumber, result.error);
         return;
     }
     if (result.outcome == Platform::CallOutcome::NotConnected) {
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -161,7 +161,8 @@
     /** Handles data of an earlier attempt, or the orderly end of its answer. */
     void onLateData(std::uint64_t attemptNumber);
     /** Handles that the connection of an earlier attempt has broken. */
-    void onLateBreak(std::uint64_t attemptNumber);
+    void onLateBreak(std::uint64_t attemptNumber, std::string_view error);
+    void logLateBreak(const std::string& generation, std::string_view error) const;
     /** Handles that an earlier attempt has not reached its upstream, so it has not run. */
     void onLateNotConnected(std::uint64_t attemptNumber, Relay::Observation observation);
     /**
