Ask a doubtful upstream for its status also while it is still listed

An upstream whose address refused a connection is doubtful although its entry is listed; it was not asked whether it runs, so a prefill with memory elsewhere ended 2 s later even if the upstream went on. Only another generation under its id is not asked, as that one would answer for it.

--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -1134,8 +1134,9 @@
 void ProxiedRequest::checkUpstreamStatus()
 {
     const Assignment& assignment = this->attempt->assignment;
+    const Membership::Upstream* const listed = this->context.storeSynchronizer.directory().find(assignment.upstream);
     // Another generation under the same id would answer, too.
-    if (this->context.storeSynchronizer.directory().find(assignment.upstream))
+    if (listed && listed->generationId() != assignment.upstreamGeneration)
         return;
     this->attempt->nextStatusCheckAt.reset();
     Platform::HttpCall check = PlatformAdapter::makeStatusCheck(assignment.address, assignment.upstream);
@@ -1157,7 +1158,7 @@
             if (!std::exchange(checked.isKeptLogged, true))
                 logEvent(Event::AttemptSilent, self->request.id,
                     "upstream=" + checked.assignment.upstreamGeneration
-                        + " reason=the upstream is not listed but answers status checks");
+                        + " reason=the upstream is doubtful but answers status checks");
         });
 }
 
