Give the stream of a silence test time to end after a late start

Seen: aSilentStreamThatCannotBeResumedIsNotEnded failed in one of 12 whole runs of tst_gateway, 4 at a time beside two busy processes, a build and plays of other proofs: CHECK_TRUE(answer.result.outcome == Platform::CallOutcome::Complete) failed, after 2,311 ms; the test takes 1,610 ms. A fault of the test.

Cause: the upstream pauses for 1.5 s, and caller and route allow 2 s, so half a second of delay makes the gateway end the stream at its deadline, rightly. What delayed that run is not known; tst_relay, run at that time, took 2,351 ms in place of 150. In 200 runs of the test alone, 8 at a time, none took longer than 1,633 ms. Trial: with the process stopped for 0.8 s before the end of the pause the test failed so in 24 of 24 runs.

Change: the test uses a route and a caller that allow 5 s. Its checks are the same, and so is the pause, which is longer than the silence after which a stream fails over (1.2 s). With the stop of the trial 24 of 24 runs pass.

--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -34,6 +34,9 @@
                     { "timeout_ms", 900 }, { "goal_ms", 100 }, { "service", "app" }, { "max_attempts", 1 } },
                 { { "name", "stream" }, { "host", "h" }, { "path_prefix", "/stream/" }, { "type", "streaming" },
                     { "timeout_ms", 2000 }, { "goal_ms", 300 }, { "gap_target_ms", 250 }, { "service", "llm" },
+                    { "max_attempts", 2 }, { "resumable", true } },
+                { { "name", "lasting" }, { "host", "h" }, { "path_prefix", "/lasting/" }, { "type", "streaming" },
+                    { "timeout_ms", 5000 }, { "goal_ms", 300 }, { "gap_target_ms", 250 }, { "service", "llm" },
                     { "max_attempts", 2 }, { "resumable", true } } } },
         { "services",
             { { { "name", "app" } },
@@ -308,8 +311,9 @@
 TEST(GatewayTest, aSilentStreamThatCannotBeResumedIsNotEnded)
 {
     this->startGateway("llm");
+    this->callerTimeout = 5s;
     this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::PauseMidStream;
-    const Answer answer = this->call("/stream/x", "POST");
+    const Answer answer = this->call("/lasting/x", "POST");
     CHECK_TRUE(answer.result.outcome == Platform::CallOutcome::Complete);
     STRCMP_CONTAINS("id: 2\n", answer.body.c_str());
     UNSIGNED_LONGS_EQUAL(1, this->startedRequestCount());
