Count popular prompt parts less in a gateway that has just started

Callers would see: after a restart of all gateways beside two parts that crash upstreams, sound requests with a popular part are refused for 15 minutes. Only the simulation has shown this; no play has.

Cause: a new gateway knows no completions, so a popular part looks like the cause until a request with it runs to its end, and once refused none does.

The share of a part among the arrived requests is known from the first seconds on. In the first five seconds of a process a part that a third of at least 20 requests have weighs a quarter, as one that completed lately does. PartPopularity counts at most 4096 parts and forgets them after that time. The field and log key completed_lately become likely_bystander.

Failed before: tst_promptpartregistry.cpp:305 aProcessThatHasJustStartedDoesNotRefuseAPartThatMostRequestsHave: CHECK_FALSE(this->isRefused({ first, 100 })) tst_promptpartregistry.cpp:333 manyHostilePartsDoNotHideThatAPartIsPopular: CHECK_FALSE(this->isRefused({ first })) gatewaysThatAllRestartServeMostSoundRequestsBesideTwoCauses is a property over the simulation, which can restart all gateways now; its bound is the users' half.

--- a/src/apps/gateway/partcrashexchange.cpp
+++ b/src/apps/gateway/partcrashexchange.cpp
@@ -44,7 +44,7 @@
 {
     return "part=" + promptPartsText(candidate.parts) + " crashes=" + std::to_string(candidate.crashCount)
         + " moments=" + std::to_string(candidate.momentCount)
-        + " completed_lately=" + std::to_string(int(candidate.hasCompletedLately));
+        + " likely_bystander=" + std::to_string(int(candidate.isLikelyBystander));
 }
 
 } // namespace
--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -139,6 +139,7 @@
             + std::to_string(this->policy->version()) + " time_left_ms=" + millisecondsText(this->timeLeft())
             + " prompt_tokens=" + std::to_string(this->request.promptTokens));
     this->fingerprint = this->makeFingerprint();
+    this->context.promptParts.recordArrival(this->request.sharedPromptParts);
     if (!this->refuseIfQuarantined())
         this->dispatch();
 }
--- a/src/libs/quarantine/crashattribution.cpp
+++ b/src/libs/quarantine/crashattribution.cpp
@@ -14,8 +14,8 @@
 
 // A rare sound part meets fewer crashes than this by chance before one of its requests completes.
 constexpr std::size_t minimumCrashes = 4;
-// A part whose requests ran to their end lately is most likely a bystander.
-constexpr std::size_t minimumCrashesAfterCompletion = 6;
+// A part whose requests ran to their end lately, or that many requests have, is most likely a bystander.
+constexpr std::size_t minimumCrashesOfBystander = 6;
 // Crashes at a single moment have a common cause, such as a loss of power. A request that failed over may meet another
 // one by chance, so two moments are enough only for many crashes under a part whose requests never ran to their end.
 constexpr std::size_t minimumMoments = 3;
@@ -25,9 +25,9 @@
 constexpr std::size_t sufficientCrashes = 6;
 // A running upstream shows a sign of life to one of its requests within this time.
 constexpr Foundation::Duration maximumSilence = std::chrono::seconds(1);
-// The weight of a crash under a part with and without completions.
-constexpr std::size_t completedWeight = 1;
-constexpr std::size_t uncompletedWeight = 4;
+// The weights of a crash under a part that is most likely a bystander, and under another one.
+constexpr std::size_t bystanderWeight = 1;
+constexpr std::size_t fullWeight = 4;
 // Candidates with fewer crashes are not reported.
 constexpr std::size_t minimumReportedCrashes = 2;
 
@@ -39,31 +39,31 @@
 
     std::size_t score() const
     {
-        return this->crashes.size() * (this->candidate.hasCompletedLately ? completedWeight : uncompletedWeight);
+        return this->crashes.size() * (this->candidate.isLikelyBystander ? bystanderWeight : fullWeight);
     }
 
     std::size_t minimum() const
     {
-        return this->candidate.hasCompletedLately ? minimumCrashesAfterCompletion : minimumCrashes;
+        return this->candidate.isLikelyBystander ? minimumCrashesOfBystander : minimumCrashes;
     }
 
     std::size_t minimumMomentCount() const
     {
         const bool areManyCrashes
-            = !this->candidate.hasCompletedLately && this->crashes.size() >= minimumCrashesAtTwoMoments;
+            = !this->candidate.isLikelyBystander && this->crashes.size() >= minimumCrashesAtTwoMoments;
         return areManyCrashes ? minimumMoments - 1 : minimumMoments;
     }
 
     bool isSufficient() const
     {
-        return !this->candidate.hasCompletedLately && this->crashes.size() >= sufficientCrashes
+        return !this->candidate.isLikelyBystander && this->crashes.size() >= sufficientCrashes
             && this->candidate.momentCount >= minimumMoments;
     }
 };
 
 class Attribution {
 public:
-    Attribution(std::span<const CountedCrash> crashes, const std::function<bool(PromptPart)>& hasCompletedLately)
+    Attribution(std::span<const CountedCrash> crashes, const std::function<bool(PromptPart)>& isLikelyBystander)
         : crashes(crashes)
     {
         for (std::size_t i = 0; i < crashes.size(); ++i) {
@@ -73,7 +73,7 @@
         std::erase_if(
             this->crashesByPart, [](const auto& entry) { return entry.second.size() < minimumReportedCrashes; });
         for (const auto& [part, indices] : this->crashesByPart)
-            this->completedLately[part] = hasCompletedLately(part);
+            this->likelyBystanders[part] = isLikelyBystander(part);
         this->allCrashesByPart = this->crashesByPart;
     }
 
@@ -102,7 +102,7 @@
     {
         std::map<std::pair<CrashIndices, bool>, std::vector<PromptPart>> partsByCrashes;
         for (const auto& [part, indices] : this->crashesByPart)
-            partsByCrashes[{ indices, this->completedLately.at(part) }].push_back(part);
+            partsByCrashes[{ indices, this->likelyBystanders.at(part) }].push_back(part);
         std::vector<Group> groups;
         for (auto& [key, parts] : partsByCrashes) {
             std::ranges::sort(parts);
@@ -113,9 +113,9 @@
         return groups;
     }
 
-    Group makeGroup(std::vector<PromptPart> parts, CrashIndices indices, bool hasCompletedLately) const
+    Group makeGroup(std::vector<PromptPart> parts, CrashIndices indices, bool isLikelyBystander) const
     {
-        Group group { std::move(indices), { std::move(parts), 0, 0, hasCompletedLately, {}, {} } };
+        Group group { std::move(indices), { std::move(parts), 0, 0, isLikelyBystander, {}, {} } };
         group.candidate.crashCount = group.crashes.size();
         for (const std::size_t index : group.crashes)
             group.candidate.lastCrashAt = std::max(group.candidate.lastCrashAt, this->crashes[index].detectedAt);
@@ -205,11 +205,11 @@
             explained = std::move(both);
         }
         for (const std::vector<PromptPart>& parts : earlierCauses) {
-            const bool hasCompletedLately = std::ranges::any_of(parts, [this](PromptPart part) {
-                const auto found = this->completedLately.find(part);
-                return found != this->completedLately.end() && found->second;
+            const bool isLikelyBystander = std::ranges::any_of(parts, [this](PromptPart part) {
+                const auto found = this->likelyBystanders.find(part);
+                return found != this->likelyBystanders.end() && found->second;
             });
-            Group group = this->makeGroup(parts, this->crashesWith(parts), hasCompletedLately);
+            Group group = this->makeGroup(parts, this->crashesWith(parts), isLikelyBystander);
             if (isListed(causes, parts) || std::ranges::includes(explained, group.crashes)
                 || this->verdictOnCrashes(group) != AttributionVerdict::Cause)
                 continue;
@@ -239,7 +239,7 @@
     std::unordered_map<PromptPart, CrashIndices> crashesByPart;
     /** The same with the crashes that a cause explains. */
     std::unordered_map<PromptPart, CrashIndices> allCrashesByPart;
-    std::unordered_map<PromptPart, bool> completedLately;
+    std::unordered_map<PromptPart, bool> likelyBystanders;
 };
 
 } // namespace
@@ -277,9 +277,9 @@
 }
 
 std::vector<CrashCandidate> attributeCrashes(std::span<const CountedCrash> crashes,
-    std::span<const std::vector<PromptPart>> earlierCauses, const std::function<bool(PromptPart)>& hasCompletedLately)
+    std::span<const std::vector<PromptPart>> earlierCauses, const std::function<bool(PromptPart)>& isLikelyBystander)
 {
-    return Attribution(crashes, hasCompletedLately).run(earlierCauses);
+    return Attribution(crashes, isLikelyBystander).run(earlierCauses);
 }
 
 } // namespace Quarantine
--- a/src/libs/quarantine/crashattribution.h
+++ b/src/libs/quarantine/crashattribution.h
@@ -38,8 +38,8 @@
     std::size_t crashCount = 0;
     /** The smallest number of moments at which these crashes can have happened. */
     std::size_t momentCount = 0;
-    /** Whether a request with these parts has run to its end lately. */
-    bool hasCompletedLately = false;
+    /** Whether a request with these parts has run to its end lately, or many requests have them. */
+    bool isLikelyBystander = false;
     AttributionVerdict verdict = AttributionVerdict::TooFewCrashes;
     /** When the last of the crashes was detected. */
     Foundation::TimePoint lastCrashAt {};
@@ -59,10 +59,10 @@
  * there.
  * @param earlierCauses the parts of each cause found before. A cause that has enough crashes is found again unless
  * others explain all of them.
- * @param hasCompletedLately returns whether a request with the part has run to its end lately.
+ * @param isLikelyBystander returns whether a part is likely to occur in crashes by chance.
  * @return the causes in the order in which they were taken, then the other parts that occur in several crashes.
  */
 std::vector<CrashCandidate> attributeCrashes(std::span<const CountedCrash> crashes,
-    std::span<const std::vector<PromptPart>> earlierCauses, const std::function<bool(PromptPart)>& hasCompletedLately);
+    std::span<const std::vector<PromptPart>> earlierCauses, const std::function<bool(PromptPart)>& isLikelyBystander);
 
 } // namespace Quarantine
--- a/src/libs/quarantine/promptpartregistry.cpp
+++ b/src/libs/quarantine/promptpartregistry.cpp
@@ -59,6 +59,7 @@
  */
 PromptPartRegistry::PromptPartRegistry(const Foundation::Clock& clock)
     : clock(clock)
+    , popularity(clock)
 {
 }
 
@@ -364,7 +365,9 @@
     }
     this->currentCandidates = attributeCrashes(counted, earlierCauses, [this](PromptPart part) {
         const auto found = this->lastCompletions.find(part);
-        return found != this->lastCompletions.end() && this->clock.now() - found->second < completionLifetime;
+        const bool hasCompletedLately
+            = found != this->lastCompletions.end() && this->clock.now() - found->second < completionLifetime;
+        return hasCompletedLately || this->popularity.isPopular(part);
     });
 }
 
--- a/src/libs/quarantine/promptpartregistry.h
+++ b/src/libs/quarantine/promptpartregistry.h
@@ -2,6 +2,7 @@
 
 #include "crashattribution.h"
 #include "partcrash.h"
+#include "partpopularity.h"
 
 #include <foundation/clock.h>
 
@@ -59,6 +60,9 @@
     std::vector<PromptPart> recordCompletion(
         std::span<const PromptPart> parts, Foundation::TimePoint completedAt = Foundation::TimePoint::max());
 
+    /** Counts a request that arrived, whether it may run or not. @param parts its parts, each once. */
+    void recordArrival(std::span<const PromptPart> parts) { this->popularity.recordArrival(parts); }
+
     /**
      * Returns why a request with these parts must not run, or null if it may. A request runs unless it has all the
      * parts that cannot be told apart.
@@ -118,6 +122,7 @@
     void refresh() const;
 
     const Foundation::Clock& clock;
+    PartPopularity popularity;
     /** By name of the crash. */
     Records records;
     /** When requests with a part last ran to their end; only recent ones. */
--- a/tests/auto/quarantine/crashsimulation.cpp
+++ b/tests/auto/quarantine/crashsimulation.cpp
@@ -15,8 +15,8 @@
 constexpr std::size_t domainSize = 8;
 constexpr int maximumAttempts = 2;
 constexpr Duration stabilityWindow = 3s;
-// The gateways have served sound requests for this time before the first one that crashes an upstream.
-constexpr Duration warmUp = 5s;
+// A part with fewer crashes is not stored.
+constexpr std::size_t storedCrashes = 2;
 
 std::string generationName(std::size_t upstream, int generation)
 {
@@ -39,7 +39,7 @@
 {
     const TimePoint end = this->clock.now() + length;
     this->repeat(Duration(1s) / this->settings.soundRate, [this] { this->arrive(0); });
-    this->after(warmUp, [this] {
+    this->after(this->settings.warmUp, [this] {
         for (int i = 1; i <= this->settings.causeCount; ++i)
             this->repeat(
                 Duration(1s) / this->settings.causeRate, [this, i] { this->arrive(static_cast<PromptPart>(i)); });
@@ -53,6 +53,8 @@
             for (std::size_t i = first; i < first + domainSize; ++i)
                 this->crash(i);
         });
+    if (this->settings.restartInterval > 0s)
+        this->repeat(this->settings.restartInterval, [this] { this->restartGateways(); });
     while (!this->actions.empty() && this->actions.begin()->first < end) {
         auto next = this->actions.extract(this->actions.begin());
         this->clock.advance(std::max(Duration::zero(), next.key() - this->clock.now()));
@@ -109,6 +111,7 @@
         request.parts.insert(request.parts.begin() + 2, cause);
     if (cause == 0)
         ++this->sound;
+    this->registries[request.gateway].recordArrival(request.parts);
     this->send(std::move(request));
 }
 
@@ -207,3 +210,18 @@
             this->after(delay + this->between(0ms, 400ms), [=, this] { this->registries[i].confirmEnded(hasCrashed); });
     }
 }
+
+void CrashSimulation::restartGateways()
+{
+    const std::vector<PartCrash> stored = this->registries.front().repeatedCrashes(storedCrashes);
+    this->registries.clear();
+    for (std::size_t i = 0; i < gatewayCount; ++i) {
+        this->registries.emplace_back(this->clock);
+        for (const PartCrash& crash : stored)
+            this->registries.back().record(crash);
+    }
+    for (Upstream& upstream : this->upstreams) {
+        for (const auto& attempt : std::exchange(upstream.attempts, {}))
+            attempt->hasEnded = true;
+    }
+}
--- a/tests/auto/quarantine/crashsimulation.h
+++ b/tests/auto/quarantine/crashsimulation.h
@@ -30,6 +30,10 @@
         Foundation::Duration unrelatedCrashInterval {};
         /** The time between losses of a third of the upstreams; 0 for none. */
         Foundation::Duration domainLossInterval {};
+        /** The time for which sound requests are served before the first one that crashes an upstream. */
+        Foundation::Duration warmUp = std::chrono::seconds(5);
+        /** The time between restarts of all gateways, which then know what is stored only; 0 for none. */
+        Foundation::Duration restartInterval {};
     };
 
     explicit CrashSimulation(const Settings& settings);
@@ -72,6 +76,7 @@
     void crash(std::size_t upstream);
     void lose(const std::string& generation, const std::shared_ptr<Attempt>& attempt);
     void confirm(const std::string& generation);
+    void restartGateways();
     void repeat(Foundation::Duration interval, std::function<void()> action);
 
     Settings settings;
--- a/tests/auto/quarantine/tst_promptpartregistry.cpp
+++ b/tests/auto/quarantine/tst_promptpartregistry.cpp
@@ -295,6 +295,44 @@
     CHECK_FALSE(this->isRefused({ rare }));
 }
 
+TEST(PromptPartRegistry, aProcessThatHasJustStartedDoesNotRefuseAPartThatMostRequestsHave)
+{
+    for (int i = 0; i < 20; ++i)
+        this->registry.recordArrival(std::vector { first, PromptPart(100 + i) });
+    this->crash({ first, other });
+    for (int i = 0; i < 4; ++i)
+        this->crash({ first, cause });
+    CHECK_FALSE(this->isRefused({ first, 100 }));
+    CHECK_TRUE(this->isRefused({ first, cause }));
+}
+
+TEST(PromptPartRegistry, aCauseThatMostRequestsHaveIsRefusedAllTheSame)
+{
+    for (int i = 0; i < 20; ++i)
+        this->registry.recordArrival(std::vector { first, cause });
+    for (int i = 0; i < 6; ++i) {
+        this->crash({ first, cause });
+        this->complete({ first });
+    }
+    CHECK_TRUE(this->isRefused({ cause }));
+    CHECK_FALSE(this->isRefused({ first }));
+}
+
+TEST(PromptPartRegistry, manyHostilePartsDoNotHideThatAPartIsPopular)
+{
+    PromptPart unique = 1'000;
+    for (int i = 0; i < 500; ++i) {
+        std::vector<PromptPart> parts { first };
+        for (int j = 0; j < 32; ++j)
+            parts.push_back(++unique);
+        this->registry.recordArrival(parts);
+    }
+    this->crash({ first, other });
+    for (int i = 0; i < 4; ++i)
+        this->crash({ first, cause });
+    CHECK_FALSE(this->isRefused({ first }));
+}
+
 TEST(PromptPartRegistry, manyCrashesAndHostilePartsDoNotFlushAQuarantine)
 {
     for (int i = 0; i < 5; ++i)
@@ -412,3 +450,19 @@
         RC_ASSERT(20 * simulation.refusedSoundRequests() < simulation.soundRequests());
     }));
 }
+
+TEST(PromptPartRegistry, gatewaysThatAllRestartServeMostSoundRequestsBesideTwoCauses)
+{
+    CHECK_TRUE(rc::check([] {
+        CrashSimulation::Settings settings;
+        settings.seed = *rc::gen::arbitrary<std::uint32_t>();
+        settings.causeCount = 2;
+        settings.soundRate = 40;
+        settings.isSilent = *rc::gen::arbitrary<bool>();
+        settings.restartInterval = 7s;
+        CrashSimulation simulation(settings);
+        simulation.run(30s);
+        RC_LOG() << "refused " << simulation.refusedSoundRequests() << " of " << simulation.soundRequests() << "\n";
+        RC_ASSERT(2 * simulation.refusedSoundRequests() < simulation.soundRequests());
+    }));
+}
