Read first after the event loop was held up, before silence is judged and prompts are sent

Cause: after a delay the timer of the tick is handled before what arrived meanwhile is read, so the process took its own delay for silence of its upstreams. Change: a tick that is late by 100 ms or more is put off by one interval of 20 ms, in which the event loop reads; so are the sending of queued prompts and the other duties. A second late tick in a row is not put off.

--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -411,12 +411,38 @@
 void GatewayCore::tick()
 {
     this->checkForSuspension();
+    if (!this->mustReadFirst()) {
+        this->runDuties();
+        if (this->shutdownHandler && this->canStop(this->clock.now())) {
+            this->shutdownHandler();
+            return;
+        }
+    }
+    this->nextTick = this->clock.now() + tickInterval;
+    this->tickTimer.expires_at(this->nextTick);
+    this->tickTimer.async_wait([this](const asio::error_code& error) {
+        if (!error)
+            this->tick();
+    });
+}
+
+bool GatewayCore::mustReadFirst()
+{
+    const Duration delay = this->clock.now() - this->nextTick;
+    if (this->nextTick == TimePoint {} || delay < loopDelayThreshold) {
+        this->isTickPutOff = false;
+        return false;
+    }
+    logEvent(Event::LoopDelayed, "",
+        "late_ms=" + std::to_string(Foundation::toMilliseconds(delay))
+            + " under_way=" + std::to_string(this->requests.size()));
+    this->isTickPutOff = !this->isTickPutOff;
+    return this->isTickPutOff;
+}
+
+void GatewayCore::runDuties()
+{
     const TimePoint now = this->clock.now();
-    const Duration delay = now - this->nextTick;
-    if (this->nextTick != TimePoint {} && delay >= loopDelayThreshold)
-        logEvent(Event::LoopDelayed, "",
-            "late_ms=" + std::to_string(Foundation::toMilliseconds(delay))
-                + " under_way=" + std::to_string(this->requests.size()));
     this->storeSynchronizer.tick();
     this->checkWatchedAttempts();
     this->confirmCrashes();
@@ -435,16 +461,6 @@
     if (now - this->lastLoadFlush >= this->peers.loadFlushInterval())
         this->flushLoad();
     this->dispatcher.schedule();
-    if (this->shutdownHandler && this->canStop(now)) {
-        this->shutdownHandler();
-        return;
-    }
-    this->nextTick = this->clock.now() + tickInterval;
-    this->tickTimer.expires_at(this->nextTick);
-    this->tickTimer.async_wait([this](const asio::error_code& error) {
-        if (!error)
-            this->tick();
-    });
 }
 
 void GatewayCore::checkForSuspension()
--- a/src/apps/gateway/gatewaycore.h
+++ b/src/apps/gateway/gatewaycore.h
@@ -48,6 +48,13 @@
 
 private:
     void tick();
+    /**
+     * Returns whether this tick is so late that connections may hold data that was not read yet, which looks like
+     * silence. Of two late ticks in a row the second one is not put off.
+     */
+    bool mustReadFirst();
+    /** Does what is due at each tick. */
+    void runDuties();
     void checkForSuspension();
     void onStoreCacheChanged();
     /** Schedules the queued prompts after a change of load. Added work is published at once. */
@@ -103,6 +110,8 @@
     std::map<const ProxiedRequest*, std::shared_ptr<ProxiedRequest>> requests;
     asio::steady_timer tickTimer;
     Foundation::TimePoint nextTick {};
+    /** Whether the duties of the last tick were put off. */
+    bool isTickPutOff = false;
     bool isSchedulePending = false;
     Foundation::TimePoint lastLoadFlush {};
     Foundation::TimePoint nextFailureNotice {};
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <thread>
 
 using namespace Gateway;
 using namespace std::chrono_literals;
@@ -391,6 +392,20 @@
     CHECK_TRUE(this->core.renderMetrics().find("bluebell_suspects_total") == std::string::npos);
 }
 
+TEST(GatewayTest, aGatewayThatWasHeldUpDoesNotTakeItsOwnDelayForSilence)
+{
+    this->startGateway("app");
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::AnswerAfterSilence;
+    this->upstreamOne.silence = this->upstreamTwo.silence = 100ms;
+    const auto answer = std::make_shared<Answer>();
+    this->send("/patient/x", answer);
+    CHECK_TRUE(this->runUntil([this] { return this->startedRequestCount() == 1; }));
+    std::this_thread::sleep_for(600ms);
+    CHECK_TRUE(this->runUntil([&] { return answer->isFinished; }));
+    LONGS_EQUAL(200, answer->result.status);
+    CHECK_TRUE(this->core.renderMetrics().find("bluebell_retries_total") == std::string::npos);
+}
+
 TEST(GatewayTest, aLateRejectionOfASilentUpstreamDoesNotEndTheAttemptAtAnotherUpstream)
 {
     this->startGateway("llm");
