--- a/tests/system/partscenario.cpp
+++ b/tests/system/partscenario.cpp
@@ -544,6 +544,9 @@
         }
         for (const auto layout : { Companion, Pair })
             scenarios.push_back({ isSilent, PartCrashPlace::FirstEvent, layout });
+        scenarios.push_back({ isSilent, PartCrashPlace::FirstEvent, Pair, /* callersLeave */ true });
+        for (const auto fault : { GatewayFault::KillInTurn, GatewayFault::KillAll })
+            scenarios.push_back({ isSilent, PartCrashPlace::FirstEvent, Pair, false, fault });
         PartScenario hostile { isSilent, PartCrashPlace::FirstEvent, MiddleOfFour };
         hostile.hasHostileCallers = true;
         scenarios.push_back(hostile);
