--- a/tests/system/partprompts.cpp
+++ b/tests/system/partprompts.cpp
@@ -53,6 +53,8 @@
         return "4middle";
     case PartLayout::MiddleOfTwelve:
         return "12middle";
+    case PartLayout::MiddleOfEighty:
+        return "80middle";
     case PartLayout::Companion:
         return "4companion";
     case PartLayout::Pair:
@@ -65,6 +67,7 @@
     : layout(layout)
     , partCount(layout == PartLayout::FirstOfTwo     ? 2
               : layout == PartLayout::MiddleOfTwelve ? 12
+              : layout == PartLayout::MiddleOfEighty ? 80
                                                      : 4)
     , crashingPlace(layout == PartLayout::FirstOfTwo || layout == PartLayout::FirstOfFour ? 0 : this->partCount / 2 - 1)
     , random(seed)
--- a/tests/system/partprompts.h
+++ b/tests/system/partprompts.h
@@ -13,6 +13,7 @@
     FirstOfFour,
     MiddleOfFour,
     MiddleOfTwelve,
+    MiddleOfEighty,
     /** As MiddleOfFour; a sound part that is rare elsewhere always comes with the crashing one. */
     Companion,
     /** As MiddleOfFour, with two crashing parts in different requests. */
--- a/tests/system/partscenario.cpp
+++ b/tests/system/partscenario.cpp
@@ -542,7 +542,7 @@
             scenarios.push_back({ isSilent, PartCrashPlace::FirstEvent, MiddleOfFour, false, fault });
             scenarios.push_back({ isSilent, PartCrashPlace::BeforeHead, MiddleOfTwelve, true, fault });
         }
-        for (const auto layout : { Companion, Pair })
+        for (const auto layout : { MiddleOfEighty, Companion, Pair })
             scenarios.push_back({ isSilent, PartCrashPlace::FirstEvent, layout });
         scenarios.push_back({ isSilent, PartCrashPlace::FirstEvent, Pair, /* callersLeave */ true });
         for (const auto fault : { GatewayFault::KillInTurn, GatewayFault::KillAll })
