Ask doubtful engines for their report, which needs no slot, and compare the generation

Found by reading. The report has a fixed path, needs no slot, and says when the process was started; another upstream at the address rejects the call.

--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -1153,7 +1153,9 @@
             Attempt& checked = *self->attempt;
             const TimePoint now = self->context.clock.now();
             checked.nextStatusCheckAt = now + statusCheckInterval;
-            if (!checked.doubtfulSince || !PlatformAdapter::isAnsweredBy(result, checked.assignment.upstream))
+            if (!checked.doubtfulSince
+                || !PlatformAdapter::isAnsweredBy(
+                    result, checked.assignment.upstream, checked.assignment.upstreamGeneration))
                 return;
             checked.doubtfulSince = now;
             if (!std::exchange(checked.isKeptLogged, true))
--- a/src/libs/membership/upstreamdirectory.cpp
+++ b/src/libs/membership/upstreamdirectory.cpp
@@ -13,13 +13,13 @@
 constexpr Foundation::Duration endedGenerationRetention = std::chrono::minutes(5);
 constexpr std::size_t maximumEndedGenerations = 4096;
 
-std::string makeGenerationId(const UpstreamEntry& entry)
+} // namespace
+
+std::string makeGenerationId(std::string_view upstream, std::int64_t startedAtMs)
 {
-    return entry.id + generationSeparator + std::to_string(entry.startedAtMs);
+    return std::string(upstream) + generationSeparator + std::to_string(startedAtMs);
 }
 
-} // namespace
-
 std::uint64_t entryDigest(const UpstreamEntry& entry)
 {
     // The fields come from outside, so they are separated by a byte that none of them contains.
@@ -32,7 +32,7 @@
 void Upstream::setEntry(const UpstreamEntry& newest)
 {
     this->entry = newest;
-    this->generation = makeGenerationId(newest);
+    this->generation = makeGenerationId(newest.id, newest.startedAtMs);
 }
 
 UpstreamDirectory::UpstreamDirectory(ChangeHandler onChange)
@@ -87,7 +87,7 @@
 
 bool UpstreamDirectory::isSuperseded(const UpstreamEntry& entry) const
 {
-    if (this->endedGenerations.contains(makeGenerationId(entry)))
+    if (this->endedGenerations.contains(makeGenerationId(entry.id, entry.startedAtMs)))
         return true;
     const Upstream* const listed = this->find(entry.id);
     if (!listed)
--- a/src/libs/membership/upstreamdirectory.h
+++ b/src/libs/membership/upstreamdirectory.h
@@ -28,6 +28,9 @@
     Foundation::Duration coldLeft {};
 };
 
+/** @return a unique name of a generation of an upstream, given the start of that generation. */
+std::string makeGenerationId(std::string_view upstream, std::int64_t startedAtMs);
+
 /** @return a hash of an upstream's entry; changes if any field but the id changes. */
 std::uint64_t entryDigest(const UpstreamEntry& entry);
 
--- a/tests/standins/crashableupstream.cpp
+++ b/tests/standins/crashableupstream.cpp
@@ -94,8 +94,8 @@
         exchange->respond({ 421, "text/plain", { { "X-Instance-Id", this->id } }, "", false });
         return;
     }
-    if (request.path == "/healthz") {
-        exchange->respond({ 200, "text/plain", { { "X-Instance-Id", this->id } }, "", false });
+    if (request.path == "/report") {
+        exchange->respond({ 200, "application/json", {}, "{}", false });
         return;
     }
     if (request.path == "/order") {
