Reserve a port before it is tried, so that no other test program is kept from listening on it

A fault of the test tools: findFreePort() bound a port for a moment before it asked whether another program had reserved it, and a server of that program that began to listen just then failed.

--- a/src/tools/fleet/fleet.cpp
+++ b/src/tools/fleet/fleet.cpp
@@ -75,11 +75,14 @@
     asio::io_context context;
     while (true) {
         next = next >= 32'000 ? 20'000 : next + 1;
+        // To bind a port that another process has reserved would keep a server of that process from listening on it.
+        if (!reservations.add(next))
+            continue;
         asio::ip::tcp::acceptor acceptor(context);
         asio::error_code error;
         acceptor.open(asio::ip::tcp::v4(), error);
         acceptor.bind({ asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(next) }, error);
-        if (!error && reservations.add(next))
+        if (!error)
             return next;
     }
 }
