--- a/tests/auto/platformadapter/tst_upstreamdecoder.cpp
+++ b/tests/auto/platformadapter/tst_upstreamdecoder.cpp
@@ -45,6 +45,40 @@
     CHECK_FALSE(decodeUpstream("i", "\xff\xfe").has_value());
 }
 
+TEST(UpstreamDecoderTest, rejectsEntriesWithNumbersThatAreTooLarge)
+{
+    for (const char* const slots : { "4294967296", "1e300", "-1e300", "18446744073709551615", "1e400" })
+        CHECK_FALSE(decodeUpstream("i", testEntryWith("16", slots)).has_value());
+    for (const char* const born : { "9223372036854775807", "18446744073709551615", "-1", "1e18" })
+        CHECK_FALSE(decodeUpstream("i", testEntryWith("1787726340335", born)).has_value());
+    for (const char* const cold : { "1e300", "9223372036854775807", "1e18" })
+        CHECK_FALSE(decodeUpstream("i", testEntryWith("250", cold)).has_value());
+    CHECK_TRUE(decodeUpstream("i", testEntryWith("250", "-5"))->coldLeft == 0ms);
+}
+
+TEST(UpstreamDecoderTest, rejectsEntriesWithUnusableAddresses)
+{
+    for (const char* const address : { "10.0.0.9:99999", "10.0.0.9:65536", "10.0.0.9:0", "10.0.0.9:-1",
+             "10.0.0.9:", "10.0.0.9", "10.0.0.9:80x", "10.0.0.9: 80", "10.0.0.999:80", "name:80", ":80",
+             "10.0.0.9:80/path", "u@10.0.0.9:80", "10.0.0.9:99999999999999999999999" })
+        CHECK_FALSE(decodeUpstream("i", testEntryWith("10.0.0.9:8080", address)).has_value());
+    CHECK_TRUE(decodeUpstream("i", testEntryWith("10.0.0.9:8080", "10.0.0.9:65535")).has_value());
+}
+
+TEST(UpstreamDecoderTest, rejectsDeeplyNestedEntries)
+{
+    constexpr std::size_t depth = 100'000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    std::string objects;
+    for (std::size_t i = 0; i < depth; ++i)
+        objects += "{\"service\":";
+    CHECK_FALSE(decodeUpstream("i", nested).has_value());
+    CHECK_FALSE(decodeUpstream("i", std::string(depth, '[')).has_value());
+    CHECK_FALSE(decodeUpstream("i", objects + "1" + std::string(depth, '}')).has_value());
+    // A field that is not read may hold anything.
+    CHECK_TRUE(decodeUpstream("i", testEntryWith("\"v1\"", nested)).has_value());
+}
+
 TEST(UpstreamDecoderTest, decodesOrRejectsCorruptedEntries)
 {
     CHECK_TRUE(rc::check([] {
