Let the order of entries decide which generation of an upstream is the newest, not its time of day

Cause: UpstreamDirectory::update() compared the start times of two generations and ignored the one with the smaller time. The store orders the entries of an id, and TopicCache keeps that order, so nothing else is needed within an era of the store; copies of older eras go through isSuperseded() as before.

Change: the newest entry counts. An entry of a generation that is known to have ended is ignored once, as it may be late, and counts when it is repeated; an entry without a start time shows no restart.

oddEntriesInTheListOfUpstreamsCostNoOtherUpstream puts nested, oversized and unreadable entries beside two upstreams of a real gateway core.

--- a/src/apps/gateway/storesynchronizer.cpp
+++ b/src/apps/gateway/storesynchronizer.cpp
@@ -596,7 +596,8 @@
         return;
     }
     if (entry) {
-        this->upstreamDirectory.update(*entry, now);
+        if (!this->upstreamDirectory.update(*entry, now))
+            this->upstreamDigests.erase(record.key);
         return;
     }
     this->metrics.counter("bluebell_ignored_entries_total").fetch_add(1);
--- a/src/libs/membership/upstreamdirectory.cpp
+++ b/src/libs/membership/upstreamdirectory.cpp
@@ -3,6 +3,7 @@
 #include <foundation/identifier.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Membership {
 
@@ -12,6 +13,8 @@
 // Longer than a copy of the list may be old.
 constexpr Foundation::Duration endedGenerationRetention = std::chrono::minutes(5);
 constexpr std::size_t maximumEndedGenerations = 4096;
+// Upstreams leave within seconds or minutes.
+constexpr Foundation::Duration leavingGenerationRetention = std::chrono::hours(1);
 
 } // namespace
 
@@ -40,24 +43,30 @@
 {
 }
 
-void UpstreamDirectory::update(const UpstreamEntry& entry, Foundation::TimePoint now)
+bool UpstreamDirectory::update(const UpstreamEntry& newest, Foundation::TimePoint now)
 {
-    const auto found = this->upstreams.find(entry.id);
+    const auto found = this->upstreams.find(newest.id);
     if (found == this->upstreams.end()) {
-        Upstream& added = this->upstreams[entry.id];
-        added.setEntry(entry);
-        added.coldUntil = now + entry.coldLeft;
+        Upstream& added = this->upstreams[newest.id];
+        added.setEntry(newest);
+        added.coldUntil = now + newest.coldLeft;
         this->endedGenerations.erase(added.generationId());
         this->report(Change::Added, added);
-        return;
+        return true;
     }
     Upstream& listed = found->second;
-    if (entry.startedAtMs < listed.entry.startedAtMs)
-        return;
+    UpstreamEntry entry = newest;
+    // An entry that does not say when the upstream was started does not show a restart.
+    if (entry.startedAtMs == 0)
+        entry.startedAtMs = listed.entry.startedAtMs;
+    if (entry.startedAtMs != listed.entry.startedAtMs && this->isLateEntry(entry))
+        return false;
     const bool isRestart = entry.startedAtMs != listed.entry.startedAtMs;
     const bool startsDraining = entry.isDraining && (isRestart || !listed.entry.isDraining);
-    if (isRestart)
+    if (isRestart) {
         this->recordEnded(listed, now);
+        this->endedGenerations.erase(makeGenerationId(entry.id, entry.startedAtMs));
+    }
     if (isRestart || entry.address != listed.entry.address)
         listed.isMisaddressed = false;
     listed.setEntry(entry);
@@ -67,6 +76,14 @@
         this->report(Change::Restarted, listed);
     if (startsDraining)
         this->report(Change::DrainStarted, listed);
+    return true;
+}
+
+bool UpstreamDirectory::isLateEntry(const UpstreamEntry& entry)
+{
+    const auto ended = this->endedGenerations.find(makeGenerationId(entry.id, entry.startedAtMs));
+    // An upstream that goes on writing has not ended.
+    return ended != this->endedGenerations.end() && !std::exchange(ended->second.hasLateEntry, true);
 }
 
 void UpstreamDirectory::remove(std::string_view id, Foundation::TimePoint now)
@@ -74,7 +91,7 @@
     const auto found = this->upstreams.find(id);
     if (found == this->upstreams.end())
         return;
-    if (now < this->outageGraceEnd && !found->second.entry.isDraining) {
+    if (now < this->outageGraceEnd && !this->isLeaving(found->second)) {
         found->second.missingUntil = this->outageGraceEnd;
         this->report(Change::Missing, found->second);
         return;
@@ -102,7 +119,7 @@
     std::erase_if(this->endedGenerations,
         [now](const auto& ended) { return now - ended.second.endedAt >= endedGenerationRetention; });
     if (this->endedGenerations.size() < maximumEndedGenerations)
-        this->endedGenerations[upstream.generationId()] = { now, upstream.entry.isDraining };
+        this->endedGenerations[upstream.generationId()] = { now, this->isLeaving(upstream) };
 }
 
 bool UpstreamDirectory::hasEndedUnexpectedly(std::string_view generationId) const
@@ -150,6 +167,18 @@
         found->second.isMisaddressed = true;
 }
 
+bool UpstreamDirectory::markLeaving(std::string_view generationId, Foundation::TimePoint now)
+{
+    std::erase_if(this->leavingGenerations,
+        [now](const auto& leaving) { return now - leaving.second >= leavingGenerationRetention; });
+    return this->leavingGenerations.try_emplace(std::string(generationId), now).second;
+}
+
+bool UpstreamDirectory::isLeaving(const Upstream& upstream) const
+{
+    return upstream.entry.isDraining || this->leavingGenerations.contains(upstream.generationId());
+}
+
 void UpstreamDirectory::setEvacuated(std::set<std::string, std::less<>> failureDomains)
 {
     this->evacuatedDomains = std::move(failureDomains);
@@ -157,7 +186,7 @@
 
 bool UpstreamDirectory::acceptsRequests(const Upstream& upstream) const
 {
-    return !upstream.entry.isDraining && !upstream.isMisaddressed
+    return !this->isLeaving(upstream) && !upstream.isMisaddressed
         && !this->evacuatedDomains.contains(upstream.entry.failureDomain);
 }
 
--- a/src/libs/membership/upstreamdirectory.h
+++ b/src/libs/membership/upstreamdirectory.h
@@ -64,8 +64,13 @@
 
     explicit UpstreamDirectory(ChangeHandler onChange = {});
 
-    /** Adds an upstream or replaces its entry. Ignores entries of earlier generations. */
-    void update(const UpstreamEntry& entry, Foundation::TimePoint now);
+    /**
+     * Adds an upstream or replaces its entry. The order of the entries decides which generation is the newest, since
+     * the time of day of an upstream's machine may be set back. A single late entry of a generation that has ended is
+     * ignored.
+     * @return whether the entry was applied; if not, it counts again when it is repeated.
+     */
+    bool update(const UpstreamEntry& entry, Foundation::TimePoint now);
 
     /**
      * Returns whether an entry from an older copy of the list would undo what is known: its generation has ended, an
@@ -94,6 +99,13 @@
     /** Marks an upstream at whose address another one answers, until it has a new generation or address. */
     void markMisaddressed(std::string_view id);
 
+    /**
+     * Marks a generation of an upstream that has said itself that it leaves. It gets no further requests, also if its
+     * entry does not say so or comes back.
+     * @return whether this was not known.
+     */
+    bool markLeaving(std::string_view generationId, Foundation::TimePoint now);
+
     /** Sets the evacuated failure domains, whose upstreams get no requests. */
     void setEvacuated(std::set<std::string, std::less<>> failureDomains);
 
@@ -121,11 +133,17 @@
 
 private:
     void report(Change change, const Upstream& upstream) const;
+    /** Returns whether the entry or the upstream itself says that it leaves. */
+    bool isLeaving(const Upstream& upstream) const;
     void recordEnded(const Upstream& upstream, Foundation::TimePoint now);
+    /** Returns whether an entry may be a late one of a generation that has ended. */
+    bool isLateEntry(const UpstreamEntry& entry);
 
     struct EndedGeneration {
         Foundation::TimePoint endedAt {};
         bool wasDraining = false;
+        /** Whether an entry of the generation has come after its end. */
+        bool hasLateEntry = false;
     };
 
     ChangeHandler onChange;
@@ -133,6 +151,8 @@
     std::set<std::string, std::less<>> evacuatedDomains;
     /** Kept for the time by which a copy of the list may be older than what is known. */
     std::map<std::string, EndedGeneration, std::less<>> endedGenerations;
+    /** The generations that have said themselves that they leave, and when. */
+    std::map<std::string, Foundation::TimePoint, std::less<>> leavingGenerations;
     Foundation::TimePoint outageGraceEnd {};
 };
 
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -1055,3 +1055,26 @@
     CHECK_TRUE(this->runUntil([this] { return this->core.isReady(); }));
     LONGS_EQUAL(200, this->call("/safe/x").result.status);
 }
+
+// One writer leaves entries that no upstream writes, also under the id of one.
+TEST(GatewayTest, oddEntriesInTheListOfUpstreamsCostNoOtherUpstream)
+{
+    this->startGateway("app");
+    const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+    std::string tooLarge = this->upstreamTwo.entry("app");
+    tooLarge.replace(tooLarge.find("\"born\":1"), 8, "\"born\":9223372036854775807");
+    std::string badPort = this->upstreamTwo.entry("app");
+    badPort.replace(badPort.find("127.0.0.1:") + 10, 1, "99999");
+    const std::array<std::string, 6> oddEntries { nested, "{\"service\":" + nested + "}", tooLarge, badPort,
+        std::string("\xff\xfe\0", 3), std::string(300'000, 'x') };
+    for (std::size_t i = 0; i < oddEntries.size(); ++i)
+        this->store.put("keyed.servers", "odd" + std::to_string(i), oddEntries[i]);
+    this->store.put("keyed.servers", "\xff\xfe", nested);
+    this->store.put("keyed.servers", "two", tooLarge);
+    this->runFor(700ms);
+    for (int i = 0; i < 6; ++i)
+        LONGS_EQUAL(200, this->call("/safe/x").result.status);
+    this->store.put("keyed.servers", "two", this->upstreamTwo.entry("app"));
+    this->upstreamOne.behaviour = UpstreamBehaviour::Reject;
+    CHECK_TRUE(this->runUntil([this] { return this->call("/safe/x").result.status == 200; }));
+}
