Do not take a second copy of an earlier answer on a kept connection for the answer to the next call

A second copy of a rejection, written on a connection that was in use again, was believed: the caller got 503 with Retry-After for a call that had run (the copy names no request), or a request that its upstream was running ran at a second one (the copy names the same request, which had been sent to the upstream again).

Cause: a rejection without X-Attempt-Id was taken as one of the current call on any connection; a request that was sent to the same upstream again after its rejection used the same connection; and a connection on which a foreign answer had come was given back to the pool if that answer was complete, so that the call after the next one met a late answer as well. Calls that must not be repeated have connections of their own, so REFUSED and TWICE were not broken by this.

Evidence, with a raw upstream that writes a second copy before its next answer (tst_keptconnections), on: aCallThatRanIsNotRefusedBecauseOfASecondCopyOfARejection got 503; aSecondCopyOfARejectionThatNamesItsRequest...: the call after the next one got 502; aSecondCopyOfARejectionOfTheSameRequestDoesNotMakeItRunElsewhere: 2 runs. The copy of a complete answer was not delivered to the next caller there either (its test passed before too): X-Attempt-Id is compared.

Change: HttpCall::answerId names the header by which an answer belongs to its call. An answer with another value, or with none on a connection that was used before, breaks its call off and closes the connection. A rejection without an id counts on a new connection only. A request goes to an upstream that has rejected it on a connection of its own.

Result: tst_keptconnections 4 of 4.

--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -380,10 +380,14 @@
     call.connectTimeout = connectTimeout;
     call.unacknowledgedTimeout = unacknowledgedTimeout;
     call.maximumIdleAge = maximumIdleConnectionAge;
+    call.answerId = PlatformAdapter::makeAnswerId(this->request.id);
     if (!this->route->isRepeatable()) {
         call.resend = Platform::Resend::Never;
         call.connectionUse = Platform::ConnectionUse::Dedicated;
     }
+    // A second copy of the earlier rejection would name this request, too.
+    if (this->rejectingGenerations.contains(assignment.upstreamGeneration))
+        call.connectionUse = Platform::ConnectionUse::Dedicated;
     this->announceSuspect();
     const std::shared_ptr<ProxiedRequest> self = this->shared_from_this();
     const std::uint64_t attemptNumber = this->currentAttemptNumber;
@@ -766,6 +770,7 @@
     this->withdrawAnnouncement(*this->attempt);
     const PlatformAdapter::AnswerHeaders headers = this->attempt->headers;
     const std::string generation = this->attempt->assignment.upstreamGeneration;
+    this->rejectingGenerations.insert(generation);
     logEvent(Event::AttemptRefused, this->request.id,
         "upstream=" + generation + " status=" + std::to_string(this->attempt->head->status)
             + " at=" + headers.faultyAddress);
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -304,6 +304,8 @@
     int runs = 0;
     /** All attempts that were sent, including rejected ones. */
     int sends = 0;
+    /** The generations that have rejected this request. */
+    std::set<std::string> rejectingGenerations;
     /** When a unit of the retry budget was spent for the next send; none if that needs none or was sent. */
     std::optional<Foundation::TimePoint> unsentRetrySpentAt;
     bool hasStreamBegun = false;
--- a/src/libs/platform/httptransfers.cpp
+++ b/src/libs/platform/httptransfers.cpp
@@ -115,6 +115,22 @@
     return std::from_chars(text.data(), text.data() + text.size(), length).ec != std::errc();
 }
 
+bool isOnUsedConnection(const Transfer& transfer)
+{
+    long newConnections = 0;
+    curl_easy_getinfo(transfer.easy.get(), CURLINFO_NUM_CONNECTS, &newConnections);
+    return newConnections == 0;
+}
+
+bool belongsToCall(const Transfer& transfer)
+{
+    const HttpField& expected = transfer.call.answerId;
+    if (expected.name.empty())
+        return true;
+    const std::string_view named = findHeader(transfer, expected.name);
+    return named.empty() ? !isOnUsedConnection(transfer) : named == expected.value;
+}
+
 void deliverHead(const Transfer& transfer)
 {
     if (!transfer.handlers.onHead)
@@ -122,7 +138,9 @@
     asio::post(*transfer.context,
         [onHead = transfer.handlers.onHead,
             head = HttpAnswerHead { answerStatus(transfer.easy.get()), answerContentType(transfer.easy.get()),
-                transfer.result.headers, framingOf(transfer) }]() mutable { onHead(std::move(head)); });
+                transfer.result.headers, framingOf(transfer), isOnUsedConnection(transfer) }]() mutable {
+            onHead(std::move(head));
+        });
 }
 
 std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* user)
@@ -145,9 +163,13 @@
     }
     if (trimmed(line).empty()) {
         transfer.isHeadComplete = answerStatus(transfer.easy.get()) >= firstFinalStatus;
-        if (transfer.isHeadComplete)
-            deliverHead(transfer);
-        return line.size();
+        if (!transfer.isHeadComplete)
+            return line.size();
+        deliverHead(transfer);
+        if (belongsToCall(transfer))
+            return line.size();
+        transfer.abortReason = "the answer belongs to another call";
+        return 0;
     }
     const std::size_t colon = line.find(':');
     if (colon != std::string_view::npos)
@@ -521,10 +543,7 @@
     bool resendIfClosedAsIdle(Transfer& transfer, CURLcode code)
     {
         CURL* const easy = transfer.easy.get();
-        long newConnections = 0;
-        curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &newConnections);
-        const bool isReused = newConnections == 0;
-        if (code != CURLE_SEND_ERROR || !isReused || transfer.isResent || transfer.headBytes > 0
+        if (code != CURLE_SEND_ERROR || !isOnUsedConnection(transfer) || transfer.isResent || transfer.headBytes > 0
             || transfer.call.resend == Resend::Never)
             return false;
         curl_off_t elapsedMicroseconds = 0;
--- a/src/libs/platform/httptransfers.h
+++ b/src/libs/platform/httptransfers.h
@@ -52,6 +52,12 @@
     std::chrono::milliseconds unacknowledgedTimeout { 0 };
     /** A call that is answered as a whole is broken off if the body of its answer is longer. */
     std::size_t maximumBodyBytes = defaultMaximumBodyBytes;
+    /**
+     * The header with which an answer names its call; without a name, answers name none. An answer that names another
+     * call, or none on a connection that was used before, may be a late one: its call is broken off and the connection
+     * closed.
+     */
+    HttpField answerId {};
 };
 
 /** The outcome of a call. */
@@ -78,6 +84,8 @@
     std::string contentType;
     std::vector<HttpField> headers;
     BodyFraming framing = BodyFraming::Length;
+    /** Whether the connection was used before, so that the answer may be a late one to an earlier call. */
+    bool isOnUsedConnection = false;
 };
 
 struct HttpCallResult {
