Send nothing to an upstream that says that it leaves, or for as long as it asks for a pause

What callers would see: requests sent to an upstream that leaves are cut when it ends; requests sent to one that has asked for a pause are turned away, and spend the retry budget that all gateways share.

Change: any answer of the right upstream to its request counts, rejections, late and parked ones too. A caller who is refused because all upstreams pause is told the time of the shortest pause.

--- a/src/apps/gateway/dispatcher.cpp
+++ b/src/apps/gateway/dispatcher.cpp
@@ -87,11 +87,31 @@
     return this->coldStartLimiter.allows(upstream.generationId(), limit, now);
 }
 
-std::vector<const Upstream*> Dispatcher::usableUpstreams(const UpstreamCriteria& criteria)
+std::vector<const Upstream*> Dispatcher::listedUpstreams(const UpstreamCriteria& criteria) const
 {
-    const TimePoint now = this->clock.now();
     std::vector<const Upstream*> listed = this->directory.acceptingUpstreams(criteria.service);
     std::erase_if(listed, [&](const Upstream* upstream) { return !this->isInRegions(*upstream, criteria.regions); });
+    return listed;
+}
+
+Duration Dispatcher::pauseLeft(const UpstreamCriteria& criteria) const
+{
+    const TimePoint now = this->clock.now();
+    std::optional<Duration> shortest;
+    for (const Upstream* const upstream : this->listedUpstreams(criteria)) {
+        const Duration left = this->health.pauseLeft(upstream->generationId(), now);
+        shortest = std::min(left, shortest.value_or(left));
+    }
+    return shortest.value_or(Duration::zero());
+}
+
+std::vector<const Upstream*> Dispatcher::usableUpstreams(const UpstreamCriteria& criteria)
+{
+    const TimePoint now = this->clock.now();
+    std::vector<const Upstream*> listed = this->listedUpstreams(criteria);
+    std::erase_if(listed, [&](const Upstream* upstream) {
+        return this->health.pauseLeft(upstream->generationId(), now) > Duration::zero();
+    });
     std::vector<const Upstream*> healthy = listed;
     std::erase_if(
         healthy, [&](const Upstream* upstream) { return !this->health.isUsable(upstream->generationId(), now); });
@@ -260,7 +280,7 @@
         return;
     const PendingPrompt pending = std::move(found->second);
     this->pendingPrompts.erase(found);
-    pending.onRefused(code, retryAfter);
+    pending.onRefused(code, std::max(retryAfter, this->pauseLeft(pending.criteria)));
 }
 
 } // namespace Gateway
--- a/src/apps/gateway/dispatcher.h
+++ b/src/apps/gateway/dispatcher.h
@@ -100,6 +100,12 @@
      */
     bool hasRoom(const PendingPrompt& pending);
 
+    /**
+     * Returns how long no upstream accepts a request because all have asked this process for a pause; 0 if one accepts
+     * it, or if there is none.
+     */
+    Foundation::Duration pauseLeft(const UpstreamCriteria& criteria) const;
+
     /** Removes a prompt from its queue without calling its callbacks. */
     void withdraw(Placement::QueuedPromptId id);
 
@@ -123,7 +129,12 @@
         const Placement::QueuedPrompt& prompt, const PendingPrompt& pending);
     void dispatch(Placement::QueuedPromptId id, const Placement::PromptPlacement& placement);
     void refuse(Placement::QueuedPromptId id, Foundation::ResultCode code, Foundation::Duration retryAfter);
-    /** Returns the upstreams that meet the criteria and are not ejected; if all are ejected, returns them all. */
+    /** Returns the upstreams that accept requests and are in the regions, paused ones included. */
+    std::vector<const Membership::Upstream*> listedUpstreams(const UpstreamCriteria& criteria) const;
+    /**
+     * Returns the upstreams that meet the criteria, do not pause and are not ejected; if all of them are ejected,
+     * returns these.
+     */
     std::vector<const Membership::Upstream*> usableUpstreams(const UpstreamCriteria& criteria);
 
     const Foundation::Clock& clock;
--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -236,7 +236,8 @@
     if (assignment)
         this->beginAttempt(*assignment);
     else
-        this->fail(this->sends == 0 ? ResultCode::NoUpstream : ResultCode::UpstreamRejected, defaultRetryAfter);
+        this->fail(this->sends == 0 ? ResultCode::NoUpstream : ResultCode::UpstreamRejected,
+            std::max(defaultRetryAfter, this->context.dispatcher.pauseLeft(this->criteria)));
 }
 
 PendingPrompt ProxiedRequest::makePendingPrompt() const
@@ -392,7 +393,8 @@
     const std::shared_ptr<ProxiedRequest> self = this->shared_from_this();
     const std::uint64_t attemptNumber = this->currentAttemptNumber;
     this->attempt->call = this->context.transfers.stream(std::move(call),
-        { [self, attemptNumber](Platform::HttpAnswerHead head) { self->onAnswerHead(attemptNumber, std::move(head)); },
+        { [self, attemptNumber, generation = assignment.upstreamGeneration](
+              Platform::HttpAnswerHead head) { self->onAnswerHead(attemptNumber, generation, std::move(head)); },
             [self, attemptNumber](const std::string& data) { self->onAnswerData(attemptNumber, data); },
             [self, attemptNumber](
                 const Platform::HttpCallResult& result) { self->onCallEnded(attemptNumber, result); } });
@@ -404,9 +406,11 @@
             + " read_by=" + joinUpstreamNames(assignment.helpers) + " fingerprint=" + this->fingerprint);
 }
 
-void ProxiedRequest::onAnswerHead(std::uint64_t attemptNumber, Platform::HttpAnswerHead head)
+void ProxiedRequest::onAnswerHead(
+    std::uint64_t attemptNumber, const std::string& generation, Platform::HttpAnswerHead head)
 {
     PlatformAdapter::AnswerHeaders decoded = PlatformAdapter::decodeAnswerHeaders(head, this->request.id);
+    this->recordNotices(generation, decoded);
     const bool isCurrent = this->attempt && attemptNumber == this->currentAttemptNumber;
     const bool isSuccess
         = isValidAnswer(decoded, head.status) && !decoded.isNotExecuted && head.status < firstServerErrorStatus;
@@ -433,6 +437,21 @@
         this->onAttemptFailed(RunOutcome::MayHaveRun, ResultCode::UpstreamFailed, true);
 }
 
+void ProxiedRequest::recordNotices(const std::string& generation, const PlatformAdapter::AnswerHeaders& headers)
+{
+    // Another upstream answers at the address.
+    if (!headers.belongsToRequest || headers.isMisaddressed)
+        return;
+    const TimePoint now = this->context.clock.now();
+    if (headers.isLeaving && this->context.storeSynchronizer.directory().markLeaving(generation, now))
+        logEvent(Event::UpstreamDraining, this->request.id, "upstream=" + generation + " change=says that it leaves");
+    if (!headers.pause)
+        return;
+    this->context.health.recordPause(generation, *headers.pause, now);
+    logEvent(Event::UpstreamLeftOut, this->request.id,
+        "upstream=" + generation + " observation=asks for a pause pause_ms=" + millisecondsText(*headers.pause));
+}
+
 void ProxiedRequest::onAnswerData(std::uint64_t attemptNumber, std::string_view data)
 {
     const bool isCurrent = this->attempt && attemptNumber == this->currentAttemptNumber;
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -155,7 +155,9 @@
     void sendAttempt(const std::vector<std::string>& leaseNames);
     PlatformAdapter::ForwardingHeaders makeForwardingHeaders(const std::vector<std::string>& leaseNames) const;
 
-    void onAnswerHead(std::uint64_t attemptNumber, Platform::HttpAnswerHead head);
+    void onAnswerHead(std::uint64_t attemptNumber, const std::string& generation, Platform::HttpAnswerHead head);
+    /** Records what an upstream says of itself in the head of an answer. */
+    void recordNotices(const std::string& generation, const PlatformAdapter::AnswerHeaders& headers);
     void onAnswerData(std::uint64_t attemptNumber, std::string_view data);
     void onCallEnded(std::uint64_t attemptNumber, const Platform::HttpCallResult& result);
     /** Handles data of an earlier attempt, or the orderly end of its answer. */
--- a/src/libs/relay/upstreamhealth.cpp
+++ b/src/libs/relay/upstreamhealth.cpp
@@ -92,6 +92,19 @@
     return found == this->records.end() || now >= found->second.ejectedUntil;
 }
 
+void UpstreamHealth::recordPause(std::string_view upstreamGeneration, Duration pause, Foundation::TimePoint now)
+{
+    Record& record = this->records[std::string(upstreamGeneration)];
+    record.pausedUntil = std::max(record.pausedUntil, now + pause);
+}
+
+Duration UpstreamHealth::pauseLeft(std::string_view upstreamGeneration, Foundation::TimePoint now) const
+{
+    const auto found = this->records.find(upstreamGeneration);
+    return found == this->records.end() ? Duration::zero()
+                                        : std::max(Duration::zero(), found->second.pausedUntil - now);
+}
+
 double UpstreamHealth::slowdownFactor(std::string_view upstreamGeneration) const
 {
     const auto found = this->records.find(upstreamGeneration);
--- a/src/libs/relay/upstreamhealth.h
+++ b/src/libs/relay/upstreamhealth.h
@@ -59,6 +59,12 @@
     /** @return whether the upstream can be used, that is, is not ejected. */
     bool isUsable(std::string_view upstreamGeneration, Foundation::TimePoint now) const;
 
+    /** Records that an upstream has turned a request away and wants no further one from this process for a time. */
+    void recordPause(std::string_view upstreamGeneration, Foundation::Duration pause, Foundation::TimePoint now);
+
+    /** @return how long the upstream wants no requests from this process; 0 if it accepts them. */
+    Foundation::Duration pauseLeft(std::string_view upstreamGeneration, Foundation::TimePoint now) const;
+
     /** @return the ratio of measured to expected delay of the upstream, smoothed; at least 1. */
     double slowdownFactor(std::string_view upstreamGeneration) const;
 
@@ -88,6 +94,8 @@
         double slowdownFactor = 1;
         Foundation::TimePoint ejectedUntil {};
         Foundation::TimePoint helpRefusedUntil {};
+        /** The end of the pause that the upstream has asked for. */
+        Foundation::TimePoint pausedUntil {};
         /** When an answer last received data. */
         std::optional<Foundation::TimePoint> lastDataAt;
         /** When its address last refused a connection; none since it last answered. */
--- a/tests/auto/platformadapter/tst_messageheaders.cpp
+++ b/tests/auto/platformadapter/tst_messageheaders.cpp
@@ -112,6 +112,32 @@
     CHECK_FALSE(decodeAnswerHeaders(makeAnswer(504, { { "X-Attempt-Id", "a" } }), "a").isNotExecuted);
 }
 
+TEST(MessageHeadersTest, aRejectionWithoutAnIdIsNotBelievedOnAConnectionThatWasUsedBefore)
+{
+    Platform::HttpAnswerHead answer = makeAnswer(503, { { "X-Not-Executed", "1" } });
+    CHECK_TRUE(decodeAnswerHeaders(answer, "a").belongsToRequest);
+    answer.isOnUsedConnection = true;
+    CHECK_FALSE(decodeAnswerHeaders(answer, "a").belongsToRequest);
+    answer.headers.push_back({ "X-Attempt-Id", "a" });
+    CHECK_TRUE(decodeAnswerHeaders(answer, "a").belongsToRequest);
+}
+
+TEST(MessageHeadersTest, decodesWhatAnUpstreamSaysOfItself)
+{
+    CHECK_TRUE(decodeAnswerHeaders(makeAnswer(200, { { "Server-Leaving", "1" } }), "a").isLeaving);
+    CHECK_FALSE(decodeAnswerHeaders(makeAnswer(200, { { "Server-Leaving", "0" } }), "a").isLeaving);
+    CHECK_FALSE(decodeAnswerHeaders(makeAnswer(200, {}), "a").isLeaving);
+    const auto pauseOf = [](int status, const char* text) {
+        return decodeAnswerHeaders(makeAnswer(status, { { "Retry-After", text } }), "a").pause;
+    };
+    CHECK_TRUE(pauseOf(503, "2") == std::optional<Foundation::Duration>(2s));
+    CHECK_TRUE(pauseOf(503, "0.25") == std::optional<Foundation::Duration>(250ms));
+    CHECK_TRUE(pauseOf(503, "1e300") == std::optional<Foundation::Duration>(1h));
+    for (const char* const text : { "", "-1", "nan", "2s", "Fri, 31 Dec 1999 23:59:59 GMT" })
+        CHECK_FALSE(pauseOf(503, text).has_value());
+    CHECK_FALSE(pauseOf(429, "2").has_value());
+}
+
 TEST(MessageHeadersTest, generatedAnswersHaveARetryAfterHeader)
 {
     const Web::HttpReply reply = encodeLocalReply(503, "a1", 250ms, "NoUpstream");
--- a/tests/auto/relay/tst_upstreamhealth.cpp
+++ b/tests/auto/relay/tst_upstreamhealth.cpp
@@ -97,3 +97,16 @@
     this->health.remove("u");
     CHECK_TRUE(this->health.isUsable("u", this->now));
 }
+
+TEST(UpstreamHealthTest, anUpstreamThatAsksForAPauseGetsItInFull)
+{
+    const auto now = Foundation::TimePoint {} + 1h;
+    UpstreamHealth health;
+    health.recordPause("x", 2s, now);
+    health.recordPause("x", 500ms, now);
+    CHECK_TRUE(health.pauseLeft("x", now + 1s) == 1s);
+    CHECK_TRUE(health.pauseLeft("x", now + 2s) == 0s);
+    CHECK_TRUE(health.pauseLeft("y", now) == 0s);
+    // A pause says nothing of the upstream's health.
+    CHECK_TRUE(health.isUsable("x", now));
+}
--- a/tests/standins/standinupstream.cpp
+++ b/tests/standins/standinupstream.cpp
@@ -3,6 +3,9 @@
 #include "listenfailure.h"
 #include "standinanswer.h"
 
+#include <functional>
+#include <memory>
+
 namespace {
 
 constexpr int streamEventCount = 5;
@@ -34,7 +37,7 @@
         return;
     }
     if (this->behaviour == UpstreamBehaviour::Reject) {
-        exchange->respond({ 503, "text/plain", { { "X-Not-Executed", "1" } }, "", false });
+        this->reject(*exchange);
         return;
     }
     const std::string helper(request.header("X-Helpers").substr(0, request.header("X-Helpers").find(',')));
@@ -44,7 +47,7 @@
         return;
     }
     this->startedRequests.push_back(request);
-    const bool isStream = request.path.starts_with("/stream/");
+    const bool isStream = request.path.starts_with("/stream/") || request.path.starts_with("/lasting/");
     const std::string_view last = request.header("Last-Event-Id");
     switch (this->behaviour) {
     case UpstreamBehaviour::CloseBeforeAnswer:
@@ -70,6 +73,11 @@
     case UpstreamBehaviour::PauseMidStream:
         this->answerStreamWithPause(exchange);
         break;
+    case UpstreamBehaviour::TrickleMidStream:
+        exchange->beginStream(makeSignedReply(request, 200, ""));
+        exchange->write(makeEvent(1) + makeEvent(2) + "id: 3\ndata: ");
+        this->trickle(exchange);
+        break;
     case UpstreamBehaviour::AnswerAfterSilence:
     case UpstreamBehaviour::RejectAfterSilence:
     case UpstreamBehaviour::AnswerErrorAfterSilence:
@@ -84,11 +92,53 @@
     default:
         if (isStream)
             this->answerStream(*exchange, last.empty() ? 1 : std::stoi(std::string(last)) + 1);
-        else
-            exchange->respond(makeSignedReply(request, 200, "answer of " + this->id));
+        else {
+            Web::HttpReply reply = makeSignedReply(request, 200, "answer of " + this->id);
+            for (Web::HttpHeader& header : this->ownHeaders())
+                reply.headers.push_back(std::move(header));
+            exchange->respond(std::move(reply));
+        }
     }
 }
 
+std::vector<Web::HttpHeader> StandinUpstream::ownHeaders() const
+{
+    if (!this->saysLeaving)
+        return {};
+    return { { "Server-Leaving", "1" } };
+}
+
+void StandinUpstream::reject(Web::HttpExchange& exchange)
+{
+    ++this->rejections;
+    std::vector<Web::HttpHeader> headers = this->ownHeaders();
+    headers.push_back({ "X-Not-Executed", "1" });
+    headers.push_back({ "X-Attempt-Id", std::string(exchange.request().header("X-Attempt-Id")) });
+    if (!this->retryAfter.empty())
+        headers.push_back({ "Retry-After", this->retryAfter });
+    exchange.respond({ 503, "text/plain", std::move(headers), "", false });
+}
+
+void StandinUpstream::trickle(const std::shared_ptr<Web::HttpExchange>& exchange)
+{
+    constexpr std::chrono::milliseconds interval { 50 };
+    const auto isGone = std::make_shared<bool>(false);
+    exchange->setDisconnectHandler([isGone] { *isGone = true; });
+    const auto timer = std::make_shared<asio::steady_timer>(this->context);
+    const auto sendByte = std::make_shared<std::function<void()>>();
+    *sendByte = [exchange, isGone, timer, interval, weak = std::weak_ptr(sendByte)] {
+        if (*isGone)
+            return;
+        exchange->write(".");
+        timer->expires_after(interval);
+        timer->async_wait([next = weak.lock()](const asio::error_code& error) {
+            if (!error && next)
+                (*next)();
+        });
+    };
+    (*sendByte)();
+}
+
 void StandinUpstream::answerStream(Web::HttpExchange& exchange, int firstEvent)
 {
     Web::HttpReply head = makeSignedReply(exchange.request(), 200, "");
--- a/tests/standins/standinupstream.h
+++ b/tests/standins/standinupstream.h
@@ -44,6 +44,8 @@
     CloseAfterSilence,
     /** Falls silent, sends the head of a stream after its silence, and nothing more. */
     SendHeadAfterSilence,
+    /** Sends two events of a stream, and then single bytes that complete no further one. */
+    TrickleMidStream,
 };
 
 /** How long a sound upstream falls silent. */
@@ -65,6 +67,12 @@
     std::string entry(const std::string& service, bool isDraining = false) const;
 
     UpstreamBehaviour behaviour = UpstreamBehaviour::Answer;
+    /** Whether its answers and rejections say that it leaves. */
+    bool saysLeaving = false;
+    /** The Retry-After header of its rejections; none if empty. */
+    std::string retryAfter;
+    /** The number of requests that it rejected as not run. */
+    int rejections = 0;
     /** How long it falls silent. */
     std::chrono::milliseconds silence = standinSilence;
     /** The start of its generation, as its entry gives it. */
@@ -80,6 +88,11 @@
     void handle(const std::shared_ptr<Web::HttpExchange>& exchange);
     void answerStream(Web::HttpExchange& exchange, int firstEvent);
     void answerStreamWithPause(const std::shared_ptr<Web::HttpExchange>& exchange);
+    /** Sends a byte now and then until the caller leaves. */
+    void trickle(const std::shared_ptr<Web::HttpExchange>& exchange);
+    void reject(Web::HttpExchange& exchange);
+    /** Returns what the upstream says of itself in its answers. */
+    std::vector<Web::HttpHeader> ownHeaders() const;
     void answerAfterSilence(const std::shared_ptr<Web::HttpExchange>& exchange, int firstEvent);
 
     std::string id;
