Judge the progress of a stream by its events, not by its bytes

Cause: every byte moved Attempt::lastDataAt, from which the silence of an upstream is counted. The body of a rejection that came byte by byte was waited for in the same way.

Evidence: aStreamThatOnlyReceivesBytesNowAndThenIsResumedElsewhere failed on: the stream broke off after 4.5 s. That such a stream ends at its deadline held before.

Change: an attempt also keeps when its answer last progressed: by its head, by a complete event of a stream, by any data of another answer. That time decides on failing over; data still prove that an upstream runs, so that nobody takes it for crashed, and slow streams are not ended for being slow. A parked stream is continued when it completes an event.

--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -299,6 +299,7 @@
     this->attempt->memory = std::make_shared<Relay::AnswerMemory::Share>(this->context.answerMemory);
     this->attempt->sentAt = this->context.clock.now();
     this->attempt->lastDataAt = this->attempt->sentAt;
+    this->attempt->lastProgressAt = this->attempt->sentAt;
     // Crashes may have become known while the request waited, or by its own earlier attempts.
     if (this->refuseIfQuarantined())
         return;
@@ -422,6 +423,7 @@
     }
     this->attempt->headers = std::move(decoded);
     this->recordData();
+    this->attempt->lastProgressAt = this->attempt->lastDataAt;
     this->context.suspects.recordAnswer(this->attempt->assignment.upstreamGeneration);
     const auto& headers = this->attempt->headers;
     const int status = head.status;
@@ -455,6 +457,11 @@
 void ProxiedRequest::onAnswerData(std::uint64_t attemptNumber, std::string_view data)
 {
     const bool isCurrent = this->attempt && attemptNumber == this->currentAttemptNumber;
+    ParkedAttempt* const parked = isCurrent ? nullptr : this->findParkedAttempt(attemptNumber);
+    if (parked && parked->attempt.isStream) {
+        this->onParkedStreamData(*parked, data);
+        return;
+    }
     if (!isCurrent && !this->resumeParkedAttempt(attemptNumber)) {
         this->onLateData(attemptNumber);
         return;
@@ -470,6 +477,7 @@
         this->onStreamData(data);
         return;
     }
+    this->attempt->lastProgressAt = this->attempt->lastDataAt;
     this->attempt->body += data;
     this->attempt->memory->resize(this->attempt->body.size());
     if (!this->attempt->memory->isWithinLimit())
@@ -506,8 +514,42 @@
         this->onAnswerTooLarge();
         return;
     }
+    if (!completeEvents.empty())
+        this->forwardEvents(std::move(completeEvents));
+}
+
+void ProxiedRequest::onParkedStreamData(ParkedAttempt& parked, std::string_view data)
+{
+    const std::uint64_t number = parked.number;
+    parked.attempt.lastDataAt = this->context.clock.now();
+    this->context.health.recordData(parked.attempt.assignment.upstreamGeneration, parked.attempt.lastDataAt);
+    std::string completeEvents = parked.events.feed(data);
+    parked.attempt.memory->resize(parked.events.partialEvent().size());
+    if (parked.events.isOutOfOrder() || !parked.attempt.memory->isWithinLimit()) {
+        this->dropInvalidParkedAttempt(number);
+        return;
+    }
     if (completeEvents.empty())
         return;
+    if (this->resumeParkedAttempt(number))
+        this->forwardEvents(std::move(completeEvents));
+    else
+        this->onLateData(number);
+}
+
+void ProxiedRequest::dropInvalidParkedAttempt(std::uint64_t attemptNumber)
+{
+    const auto invalid = this->takeParkedAttempt(attemptNumber);
+    if (!invalid)
+        return;
+    this->logLateBreak(invalid->attempt.assignment.upstreamGeneration, "the answer is out of order or too large");
+    this->recordCrash(invalid->attempt, Quarantine::CrashCertainty::Possible, "invalid answer");
+    this->releaseAttempt(invalid->attempt, Observation::Failed);
+}
+
+void ProxiedRequest::forwardEvents(std::string completeEvents)
+{
+    this->attempt->lastProgressAt = this->attempt->lastDataAt;
     this->recordFirstEvent();
     if (!this->hasStreamBegun) {
         this->beginStream();
@@ -537,6 +579,7 @@
         return;
     this->attempt->isPaused = false;
     this->attempt->lastDataAt = this->context.clock.now();
+    this->attempt->lastProgressAt = this->attempt->lastDataAt;
     this->context.transfers.resume(this->attempt->call);
 }
 
@@ -632,7 +675,7 @@
     this->recordObservation(watched->generation, observation);
 }
 
-const ParkedAttempt* ProxiedRequest::findParkedAttempt(std::uint64_t attemptNumber) const
+ParkedAttempt* ProxiedRequest::findParkedAttempt(std::uint64_t attemptNumber)
 {
     const auto found = std::ranges::find(this->parkedAttempts, attemptNumber, &ParkedAttempt::number);
     return found == this->parkedAttempts.end() ? nullptr : &*found;
@@ -1072,7 +1115,7 @@
         return;
     this->updateDoubt(now);
     if (this->attempt->isRejected()) {
-        if (now - this->attempt->lastDataAt >= rejectionBodyTimeout)
+        if (now - this->attempt->lastProgressAt >= rejectionBodyTimeout)
             this->onRejected();
         return;
     }
@@ -1193,6 +1236,7 @@
     const Attempt& silent, TimePoint now, FailoverAction failover) const
 {
     return { .silence = now - silent.lastDataAt,
+        .stall = now - silent.lastProgressAt,
         .expectedSilence = this->expectedSilence(silent),
         .inactivityTimeout = this->inactivityTimeout(silent),
         .isUpstreamDoubtful = this->isUpstreamDoubtful(silent),
@@ -1244,7 +1288,7 @@
 {
     const Duration silence = now - this->attempt->lastDataAt;
     // A doubtful upstream need not be late by much to be taken as down.
-    return silence >= this->inactivityTimeout(*this->attempt)
+    return now - this->attempt->lastProgressAt >= this->inactivityTimeout(*this->attempt)
         || (silence >= this->expectedSilence(*this->attempt) && this->isUpstreamDoubtful(*this->attempt));
 }
 
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -80,6 +80,8 @@
     MemoryReservationId memoryReservation = 0;
     Foundation::TimePoint sentAt {};
     Foundation::TimePoint lastDataAt {};
+    /** When it was sent, or its answer last progressed: by its head, or by a complete event if it is a stream. */
+    Foundation::TimePoint lastProgressAt {};
     /** Silence does not cause a failover sooner, since the last one has failed. */
     Foundation::TimePoint failoverNotBefore {};
     /** Whether no event of the answer has arrived yet. */
@@ -174,7 +176,7 @@
     bool resumeParkedAttempt(std::uint64_t attemptNumber);
     /** Continues with a parked attempt, whose upstream may still go on. Parks the current attempt if it is at work. */
     void returnToParkedAttempt(std::uint64_t attemptNumber);
-    const ParkedAttempt* findParkedAttempt(std::uint64_t attemptNumber) const;
+    ParkedAttempt* findParkedAttempt(std::uint64_t attemptNumber);
     /** Removes a parked attempt from the list and returns it; none if there is none with this number. */
     std::optional<ParkedAttempt> takeParkedAttempt(std::uint64_t attemptNumber);
     /** Parks the current attempt, whose upstream has not delivered anything, or ends it if it is not at work. */
@@ -190,6 +192,11 @@
     /** Records that the answer of the current attempt has received data. */
     void recordData();
     void onStreamData(std::string_view data);
+    /** Handles data of a parked stream, which is continued if they complete an event. */
+    void onParkedStreamData(ParkedAttempt& parked, std::string_view data);
+    void dropInvalidParkedAttempt(std::uint64_t attemptNumber);
+    /** Forwards complete events of the current attempt. */
+    void forwardEvents(std::string completeEvents);
     /** Stops reading a stream whose caller receives it more slowly than it arrives. */
     void pauseForSlowCaller();
     /** Continues to read a stream after its caller has received a part of it. */
--- a/src/libs/relay/silencedecision.h
+++ b/src/libs/relay/silencedecision.h
@@ -4,6 +4,7 @@
 
 #include <foundation/clock.h>
 
+#include <algorithm>
 #include <concepts>
 #include <cstdint>
 #include <optional>
@@ -42,6 +43,8 @@
 struct SilentAttempt {
     /** The time since the last data of the answer, or since the request was sent. */
     Foundation::Duration silence {};
+    /** The time since the answer last came closer to its end; at least the silence, and longer if mere bytes arrive. */
+    Foundation::Duration stall {};
     /** The silence that is expected of an upstream that is as fast as usual. */
     Foundation::Duration expectedSilence {};
     /** The silence after which a listed upstream counts as late. */
@@ -87,7 +90,7 @@
     if (attempt.isPaused)
         return { hasEnded ? SilenceAction::Release : SilenceAction::Wait, KeepReason::None };
     const Foundation::Duration limit = attempt.isUpstreamDoubtful ? attempt.expectedSilence : attempt.inactivityTimeout;
-    if (!hasEnded && attempt.silence < limit)
+    if (!hasEnded && std::max(attempt.silence, attempt.stall) < limit)
         return { SilenceAction::Wait, KeepReason::None };
     // A stream that has begun waits in the queue only if nothing else can continue it.
     const bool mustHaveRoom = !attempt.canQueue || (attempt.failover == FailoverAction::Resume && !hasEnded);
