Reject frames that are nested too deeply instead of exhausting the stack

A frame of 1 MB whose bytes open a list each, sent to the port at which gateways, agents and entries talk to each other, ended the process, and with it all its requests.

Cause: nlohmann's CBOR parser calls itself for each level, and nothing limits the levels. Its JSON parser does not, so entries of the store are safe (rejectsDeeplyNestedEntries).

Change: the value is built by a builder that ends parsing at 32 levels.

--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -26,6 +26,39 @@
         : Quarantine::CrashCertainty::Confirmed;
 }
 
+// Messages have fewer levels. The parser calls itself for each level.
+constexpr std::size_t maximumNesting = 32;
+
+// Builds a value from the events of the parser, and ends parsing at a value that is nested too deeply.
+class BoundedBuilder : public nlohmann::detail::json_sax_dom_parser<Json> {
+public:
+    explicit BoundedBuilder(Json& result)
+        : json_sax_dom_parser(result, /* allow_exceptions */ true)
+    {
+    }
+
+    bool start_object(std::size_t size) { return this->enter() && json_sax_dom_parser::start_object(size); }
+
+    bool end_object()
+    {
+        --this->depth;
+        return json_sax_dom_parser::end_object();
+    }
+
+    bool start_array(std::size_t size) { return this->enter() && json_sax_dom_parser::start_array(size); }
+
+    bool end_array()
+    {
+        --this->depth;
+        return json_sax_dom_parser::end_array();
+    }
+
+private:
+    bool enter() { return ++this->depth <= maximumNesting; }
+
+    std::size_t depth = 0;
+};
+
 // Older processes send no certainty and count every notice.
 Quarantine::CrashCertainty certaintyOf(const Json& notice)
 {
@@ -575,7 +608,10 @@
         return Error { ResultCode::MalformedMessage, "the frame exceeds 32 MiB" };
     std::vector<Message> messages;
     try {
-        const Json frame = Json::from_cbor(bytes);
+        Json frame;
+        BoundedBuilder builder(frame);
+        if (!Json::sax_parse(bytes, &builder, Json::input_format_t::cbor))
+            return Error { ResultCode::MalformedMessage, "the frame is nested too deeply" };
         if (!frame.is_array())
             return Error { ResultCode::MalformedMessage, "a frame must be a list of messages" };
         for (const Json& object : frame)
--- a/tests/auto/wire/tst_codec.cpp
+++ b/tests/auto/wire/tst_codec.cpp
@@ -184,3 +184,17 @@
         static_cast<void>(decode(damaged));
     }));
 }
+
+// Another process could send such a frame, and the decoder must not exhaust the stack.
+TEST(Codec, deeplyNestedFramesAreRejected)
+{
+    constexpr std::size_t depth = 1'000'000;
+    for (const char opener : { '\x81', '\x9f', '\xbf', '\xc6' }) {
+        CHECK_FALSE(decode(std::string(depth, opener)).has_value());
+        CHECK_FALSE(decode(std::string("\x81\xa1\x61\x74", 4) + std::string(depth, opener)).has_value());
+    }
+    std::string maps;
+    for (std::size_t i = 0; i < depth; ++i)
+        maps += "\xa1\x61\x74";
+    CHECK_FALSE(decode(maps).has_value());
+}
