Let one gateway of a failure domain read crash notices and addresses of gateways for the others

Cause: each gateway held a long poll on the topics of crash notices and of addresses, so each record woke all of them, and 68 gateways asked 8 times a second without any record. The upstreams' topic was read every 450 ms and the operator's every second in each domain, whatever time the deployment allows for a change.

Ruled out: the topics cannot be left out, since they replace gateways that are gone or not reached, and a gateway that starts reads them.

Change: after its first listing, a gateway reads these two topics only if no reader of its domain has passed on within 3 s what it read (0.3 s more for each gateway that precedes it). Updates to the domain peers carry both topics; a gap makes the gateway read itself. Gateways of before ignore the new fields. The poll interval of the upstreams' topic is 0.225 of the time for which a leaving upstream may be used, 450 to 900 ms, and the long poll of the operator's topic half of the time in which a change must be in force, 1 to 2 s; on small deployments both are as before.

Test: tst_auxiliarytopics, 4 of 4, with a real stand-in store: 40 notices that are passed on cost no call; silence or a gap of the reader makes a gateway read.

--- a/src/apps/gateway/storesynchronizer.cpp
+++ b/src/apps/gateway/storesynchronizer.cpp
@@ -6,6 +6,8 @@
 #include "platform/policydecoder.h"
 #include "platform/upstreamdecoder.h"
 
+#include <algorithm>
+
 namespace Gateway {
 
 namespace {
@@ -17,14 +19,20 @@
 using Membership::UpstreamDirectory;
 using StoreCache::KeyedRecord;
 
-// The operator's topic changes rarely, so it is read with long polling. A dead connection is detected after this time
-// plus the store's answer timeout, which must be less than the time in which a change has to be in force.
-constexpr Duration operatorLongPoll = std::chrono::milliseconds(1'000);
-// Each upstream appends a record at each heartbeat, so a long poll of the upstreams' topic would return at once. An
-// upstream may still be used for 2 s after it reports that it is draining.
-constexpr Duration upstreamPollInterval = std::chrono::milliseconds(450);
+// The operator's topic changes rarely, so it is read with long polling. A dead connection is detected after this
+// fraction of the time in which a change has to be in force, plus the store's answer timeout.
+constexpr double operatorLongPollFraction = 0.5;
+constexpr Duration minimumOperatorLongPoll = std::chrono::milliseconds(1'000);
+constexpr Duration maximumOperatorLongPoll = std::chrono::milliseconds(2'000);
+// Each upstream appends a record at each heartbeat, so a long poll of the upstreams' topic would return at once. It is
+// read several times while an upstream that leaves may still be used, since changes pass through a reader.
+constexpr double upstreamPollFraction = 0.225;
+constexpr Duration minimumUpstreamPollInterval = std::chrono::milliseconds(450);
+constexpr Duration maximumUpstreamPollInterval = std::chrono::milliseconds(900);
 // Gateways start and stop rarely, and they also send each other their addresses when they connect.
 constexpr Duration peerLongPoll = std::chrono::seconds(15);
+// An auxiliary topic is read by another gateway if its reader passes nothing on for this time.
+constexpr Duration passOnTimeout = std::chrono::seconds(3);
 // Batches the records of gateways that start at the same time.
 constexpr Duration peerPollInterval = std::chrono::milliseconds(1'500);
 // One gateway of a failure domain reads the store for all. If its updates stop, the others start to read one after
@@ -57,6 +65,11 @@
 // must be out of use. The rest is for requests that were accepted just before.
 constexpr double keyAgeFraction = 0.85;
 
+Duration fractionOf(Duration limit, double fraction, Duration minimum, Duration maximum)
+{
+    return std::clamp(Foundation::fromSeconds(Foundation::toSeconds(limit) * fraction), minimum, maximum);
+}
+
 std::string ageText(std::optional<Duration> age)
 {
     return age ? std::to_string(Foundation::toMilliseconds(*age)) : std::string("unknown");
@@ -122,21 +135,23 @@
     this->store.setEraHandler([this](std::uint64_t newEra) { this->beginEra(newEra); });
     this->operatorFollower.topic = PlatformAdapter::Topic::operatorRecords;
     this->operatorFollower.records = &this->operatorRecords;
-    this->operatorFollower.longPoll = operatorLongPoll;
+    this->operatorFollower.longPoll = fractionOf(
+        settings.node.policyApplyLimit, operatorLongPollFraction, minimumOperatorLongPoll, maximumOperatorLongPoll);
     this->upstreamFollower.topic = PlatformAdapter::Topic::upstreams;
     this->upstreamFollower.records = &this->upstreamRecords;
-    this->upstreamFollower.pollInterval = upstreamPollInterval;
+    this->upstreamFollower.pollInterval = fractionOf(
+        settings.node.drainLimit, upstreamPollFraction, minimumUpstreamPollInterval, maximumUpstreamPollInterval);
     this->peerFollower.topic = PlatformAdapter::Topic::peers;
     this->peerFollower.records = &this->peerRecords;
     this->peerFollower.longPoll = peerLongPoll;
     this->peerFollower.pollInterval = peerPollInterval;
-    this->peerFollower.isReadByAll = true;
+    this->peerFollower.isAuxiliary = true;
     // Gateways tell each other of crashes at once; the store only replaces those that are gone or cannot be reached.
     this->suspectFollower.topic = PlatformAdapter::Topic::suspects;
     this->suspectFollower.records = &this->suspectRecords;
     this->suspectFollower.longPoll = peerLongPoll;
     this->suspectFollower.pollInterval = peerPollInterval;
-    this->suspectFollower.isReadByAll = true;
+    this->suspectFollower.isAuxiliary = true;
 }
 
 std::array<StoreSynchronizer::Follower*, 4> StoreSynchronizer::followers()
@@ -200,9 +215,11 @@
     if (&follower == &this->suspectFollower && !this->isStoreReachable())
         return false;
     const std::size_t rank = this->handlers.domainRank();
-    if (!follower.isListed || rank == 0 || follower.isReadByAll)
+    if (!follower.isListed || rank == 0)
         return true;
     const int delays = static_cast<int>(std::min(rank, maximumRankDelays));
+    if (follower.isAuxiliary)
+        return now - std::max(follower.lastPassedOn, follower.lastSuccess) >= passOnTimeout + delays * rankDelay;
     return now - follower.lastCurrent >= follower.longPoll + follower.pollInterval + delays * rankDelay;
 }
 
@@ -255,6 +272,7 @@
             follower.records->mergeListing(
                 std::move(listing.value().records), listing.value().end, listing.value().era);
             this->isMergingCopy = false;
+            follower.publishedEnd = follower.records->end();
             this->onRead(follower, sent, {});
         });
         return;
@@ -287,7 +305,8 @@
     follower.nextRead = this->clock.now() + follower.pollInterval;
     if (&follower == &this->operatorFollower && !this->isSettling())
         this->freshness.recordCurrentAsOf(std::min(sent + holdTime, this->bootClock.now()));
-    if (!follower.isReadByAll)
+    // Every gateway reads the auxiliary topics when it starts.
+    if (!follower.isAuxiliary || follower.records->end() > follower.publishedEnd)
         this->sendToDomainPeers();
     this->tick();
 }
@@ -320,6 +339,8 @@
     this->operatorEndPublished = 0;
     this->upstreamEndPublished = 0;
     this->upstreamChanges.clear();
+    for (Follower* const follower : this->followers())
+        follower->publishedEnd = 0;
     // An entry that the copy lacks may be written again until then, whoever reached the store meanwhile.
     this->upstreamFollower.awaySince = this->upstreamFollower.lastCurrent;
     this->upstreamFollower.currentSince = now;
@@ -353,9 +374,36 @@
     update.upstreamFrom = this->upstreamEndPublished;
     this->operatorEndPublished = update.operatorEnd;
     this->upstreamEndPublished = update.upstreamEnd;
+    update.suspects = this->takeUnpublished(this->suspectFollower);
+    update.peers = this->takeUnpublished(this->peerFollower);
     this->handlers.sendToDomainPeers(update);
 }
 
+Wire::StoreCacheReply::TopicPart StoreSynchronizer::takeUnpublished(Follower& follower) const
+{
+    if (!follower.isListed || follower.isCopyUnread)
+        return {};
+    const std::uint64_t from = std::exchange(follower.publishedEnd, follower.records->end());
+    Wire::StoreCacheReply::TopicPart part { {}, from, follower.records->end(), ageMs(follower, this->clock.now()) + 1 };
+    if (part.end > from)
+        part.records = follower.records->recordsFrom(from);
+    return part;
+}
+
+void StoreSynchronizer::applyPart(Follower& follower, Wire::StoreCacheReply::TopicPart part, std::uint64_t partEra)
+{
+    const std::int64_t longestAgeMs
+        = Foundation::toMilliseconds(follower.longPoll + follower.pollInterval + passOnTimeout);
+    const bool isUsable = part.ageMs > 0 && part.ageMs <= longestAgeMs && follower.isListed && !follower.isCopyUnread
+        && part.from <= follower.records->end();
+    if (!isUsable)
+        return;
+    follower.records->mergeRange(std::move(part.records), part.end, partEra);
+    follower.publishedEnd = std::max(follower.publishedEnd, follower.records->end());
+    follower.lastPassedOn = this->clock.now();
+    recordCurrent(follower, this->clock.now() - std::chrono::milliseconds(part.ageMs));
+}
+
 void StoreSynchronizer::recordSuccess(Follower& follower)
 {
     const TimePoint now = this->clock.now();
@@ -421,7 +469,7 @@
 void StoreSynchronizer::onFailure(Follower& follower, std::string_view reason)
 {
     follower.isReading = false;
-    const bool isReader = !follower.isReadByAll && this->handlers.domainRank() < outageReaderCount;
+    const bool isReader = !follower.isAuxiliary && this->handlers.domainRank() < outageReaderCount;
     follower.nextRead = this->clock.now()
         + Foundation::exponentialBackoff(
             initialRetryDelay, isReader ? maximumReaderRetryDelay : maximumRetryDelay, ++follower.consecutiveFailures);
@@ -479,6 +527,8 @@
     };
     recordAge(this->operatorFollower, reply.operatorAgeMs);
     recordAge(this->upstreamFollower, reply.upstreamAgeMs);
+    this->applyPart(this->suspectFollower, reply.suspects, reply.era);
+    this->applyPart(this->peerFollower, reply.peers, reply.era);
     if (!this->isSettling())
         this->freshness.recordCurrentAsOf(
             this->bootClock.now() - networkDelayAllowance - std::chrono::milliseconds(reply.operatorAgeMs));
--- a/src/apps/gateway/storesynchronizer.h
+++ b/src/apps/gateway/storesynchronizer.h
@@ -96,8 +96,8 @@
         Foundation::Duration longPoll {};
         /** The time between the end of a read and the next one. */
         Foundation::Duration pollInterval {};
-        /** Whether every gateway reads the topic itself, instead of one of each failure domain. */
-        bool isReadByAll = false;
+        /** Whether a delay matters little, since gateways also tell each other what is in the topic. */
+        bool isAuxiliary = false;
         /** Whether a listing was merged; from then on only new records are read. */
         bool isListed = false;
         /** Whether the store has come back from an older copy that has not been read yet. */
@@ -108,6 +108,10 @@
         Foundation::TimePoint lastSuccess {};
         /** When the cached records were last complete up to the end of the topic, by a read or a peer's update. */
         Foundation::TimePoint lastCurrent {};
+        /** When the reader of the failure domain last passed on that it follows the topic. */
+        Foundation::TimePoint lastPassedOn {};
+        /** The offset up to which the records were sent to the domain peers, by this process or by one of them. */
+        std::uint64_t publishedEnd = 0;
         /** Since when they have been current without a gap in which entries could expire. */
         Foundation::TimePoint currentSince {};
         /** The start of the last such gap. */
@@ -136,6 +140,10 @@
     void queryPeerIfDue();
     bool isDue(const Follower& follower) const;
     void sendToDomainPeers();
+    /** Returns the records of an auxiliary topic that the domain peers have not been sent. */
+    Wire::StoreCacheReply::TopicPart takeUnpublished(Follower& follower) const;
+    /** Merges what the reader of the failure domain has read of an auxiliary topic. */
+    void applyPart(Follower& follower, Wire::StoreCacheReply::TopicPart part, std::uint64_t partEra);
     static std::int64_t ageMs(const Follower& follower, Foundation::TimePoint now);
     void registerSelf();
 
--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -560,6 +560,14 @@
     visitor("currentFor", reply.upstreamCurrentForMs);
     visitor("away", reply.upstreamAwayMs);
     visitor("era", reply.era);
+    visitor("suspects", reply.suspects.records);
+    visitor("suspectFrom", reply.suspects.from);
+    visitor("suspectEnd", reply.suspects.end);
+    visitor("suspectAge", reply.suspects.ageMs);
+    visitor("peers", reply.peers.records);
+    visitor("peerFrom", reply.peers.from);
+    visitor("peerEnd", reply.peers.end);
+    visitor("peerAge", reply.peers.ageMs);
 }
 
 template <typename T> constexpr bool belongsToAttempt = requires(T message) { message.attempt; };
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -267,6 +267,16 @@
 
 /** Records from the store cache of a gateway: the response to a query, or records that the gateway has just read. */
 struct StoreCacheReply {
+    /** What a gateway has read of a topic that the gateways of its failure domain then need not read. */
+    struct TopicPart {
+        std::vector<StoreCache::KeyedRecord> records;
+        /** The records are complete from this offset to the end. */
+        std::uint64_t from = 0;
+        std::uint64_t end = 0;
+        /** The age of the sender's cache of the topic, in ms, rounded up; 0 if the part is missing. */
+        std::int64_t ageMs = 0;
+    };
+
     std::vector<StoreCache::KeyedRecord> operatorRecords;
     std::vector<StoreCache::KeyedRecord> upstreamRecords;
     /**
@@ -290,6 +300,9 @@
     std::int64_t upstreamAwayMs = 0;
     /** The era of the store to which the offsets belong; single records may be of earlier ones. */
     std::uint64_t era = 0;
+    /** Sent within a failure domain only. */
+    TopicPart suspects;
+    TopicPart peers;
 };
 
 /** Any message. The index of a type in this list is its number on the wire, so the order must not change. */
