End processes without waiting for the worker threads of log4cplus

What callers saw: a gateway that had stopped in order was there until it was killed at the end of the grace time, and its successor started later by that time.

Cause: the handlers of exit() did not return. A trial with a line at each step of the end showed run() and main() returning 10 ms after event 102 (ProcessStopped), and the first static object destroyed never. The static object that is destroyed before is the log, whose log4cplus::Initializer waits for a pool of worker threads.

Ruled out: sockets, libcurl, RESTinio, websocketpp and the io_context: all were destroyed within 10 ms.

Change: Application::endProcess() flushes the standard streams and leaves the handlers and static destructors out.

--- a/src/apps/agent/main.cpp
+++ b/src/apps/agent/main.cpp
@@ -1,6 +1,7 @@
 #include "agentcore.h"
 
 #include <application/commandline.h>
+#include <application/processend.h>
 #include <application/runwithsettings.h>
 #include <application/signalwatch.h>
 #include <foundation/logging.h>
@@ -68,6 +69,6 @@
 {
     Application::parseCommandLine(
         "admission agent of one upstream\nusage: bluebell-agent --settings FILE [--check]", argc, argv);
-    return Application::runWithSettings(FLAGS_settings, FLAGS_check, &Agent::parseAgentSettings,
-        [](const auto& settings, const std::string&) { return run(settings); });
+    Application::endProcess(Application::runWithSettings(FLAGS_settings, FLAGS_check, &Agent::parseAgentSettings,
+        [](const auto& settings, const std::string&) { return run(settings); }));
 }
--- a/src/apps/entry/main.cpp
+++ b/src/apps/entry/main.cpp
@@ -2,6 +2,7 @@
 #include "entryserver.h"
 
 #include <application/commandline.h>
+#include <application/processend.h>
 #include <application/runwithsettings.h>
 #include <application/signalwatch.h>
 #include <foundation/logging.h>
@@ -71,6 +72,6 @@
     Application::parseCommandLine(
         "accepts the requests of callers and forwards them to agents\nusage: bluebell-entry --settings FILE [--check]",
         argc, argv);
-    return Application::runWithSettings(FLAGS_settings, FLAGS_check, &Entry::parseEntrySettings,
-        [](const auto& settings, const std::string&) { return run(settings); });
+    Application::endProcess(Application::runWithSettings(FLAGS_settings, FLAGS_check, &Entry::parseEntrySettings,
+        [](const auto& settings, const std::string&) { return run(settings); }));
 }
--- a/src/apps/gateway/main.cpp
+++ b/src/apps/gateway/main.cpp
@@ -1,6 +1,7 @@
 #include "gatewaycore.h"
 
 #include <application/commandline.h>
+#include <application/processend.h>
 #include <application/runwithsettings.h>
 #include <application/signalwatch.h>
 #include <foundation/logging.h>
@@ -141,5 +142,6 @@
     Application::parseCommandLine("HTTP gateway that forwards requests directly to upstreams\n"
                                   "usage: bluebell-gateway --settings FILE [--check]",
         argc, argv);
-    return Application::runWithSettings(FLAGS_settings, FLAGS_check, &Gateway::parseGatewaySettings, &run);
+    Application::endProcess(
+        Application::runWithSettings(FLAGS_settings, FLAGS_check, &Gateway::parseGatewaySettings, &run));
 }
