Do not stop while callers still receive answers

What callers saw: nothing yet; the operators' report on requests that were cut off at a planned stop was looked for. An answer that was handed over, and that its caller received slowly, was cut off when the gateway ended a quarter of a second after its last request.

Cause: a request ends when its answer is handed to the server; what is still to be sent was not looked at.

Change: the memory of an answer, of streams too, is held until it was sent or its connection was closed, and a gateway stops only when none is held, or shortly before it would be killed.

--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -489,9 +489,10 @@
     const Duration elapsed = now - this->shutdownStart;
     if (elapsed >= this->settings.node.shutdownGrace - killMargin)
         return true;
-    // Only this process releases the memory of orders that engines execute late.
-    return this->requests.empty() && this->memoryLeases.size() == 0 && elapsed >= loadBalancerDelay
-        && now - this->lastRequestEnd >= finalFlushTime;
+    // Callers may still receive answers whose requests have ended, and only this process releases the memory of orders
+    // that engines execute late.
+    return this->requests.empty() && this->answerMemory.heldBytes() == 0 && this->memoryLeases.size() == 0
+        && elapsed >= loadBalancerDelay && now - this->lastRequestEnd >= finalFlushTime;
 }
 
 std::string GatewayCore::renderMetrics()
--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -884,7 +884,8 @@
         this->beginStream();
     if (!rest.empty())
         this->exchange->write(rest);
-    this->exchange->finish();
+    this->attempt->memory->resize(this->exchange->unsentBytes());
+    this->exchange->finish(this->attempt->memory);
     this->exonerate();
     logEvent(Event::RequestAnswered, this->request.id,
         "events=" + std::to_string(this->events.eventCount()) + " framing=" + framingText(this->attempt->head->framing)
--- a/src/libs/web/httpserver.cpp
+++ b/src/libs/web/httpserver.cpp
@@ -153,13 +153,13 @@
 
     void setSentHandler(std::function<void()> handler) override { this->progress->setHandler(std::move(handler)); }
 
-    void finish() override
+    void finish(std::shared_ptr<void> attachment) override
     {
         this->unregister();
         const std::lock_guard lock(this->streamMutex);
         if (!this->stream)
             return;
-        this->stream->done();
+        this->stream->done([attachment = std::move(attachment)](const auto&) {});
         this->stream.reset();
     }
 
--- a/src/libs/web/httpserver.h
+++ b/src/libs/web/httpserver.h
@@ -39,8 +39,11 @@
     /** Sets a handler that is called, on any thread, after a part of a chunked response was sent. */
     virtual void setSentHandler(std::function<void()> handler) = 0;
 
-    /** Ends a chunked response. */
-    virtual void finish() = 0;
+    /**
+     * Ends a chunked response.
+     * @param attachment kept until the response was sent or its connection closed.
+     */
+    virtual void finish(std::shared_ptr<void> attachment = {}) = 0;
 
     /** Closes the connection without ending the response, so that the caller sees that it is incomplete. */
     virtual void abort() = 0;
