--- a/src/libs/foundation/event.cpp
+++ b/src/libs/foundation/event.cpp
@@ -92,7 +92,7 @@
         "The entry of an upstream expired during an outage of the store; it may return." },
     { Event::UpstreamRemoved, "UpstreamRemoved", Severity::Info, "An upstream is no longer listed." },
     { Event::UpstreamLeftOut, "UpstreamLeftOut", Severity::Warning,
-        "An upstream failed and is ejected for a limited time." },
+        "An upstream failed or asked for a pause, and gets no requests for a limited time." },
     { Event::UpstreamMisaddressed, "UpstreamMisaddressed", Severity::Warning,
         "Another upstream answers at the address of this one." },
     { Event::ClaimWon, "ClaimWon", Severity::Debug, "The claim for an idempotency key was won." },
