--- a/tests/standins/crashableupstream.cpp
+++ b/tests/standins/crashableupstream.cpp
@@ -20,6 +20,7 @@
 constexpr auto lateCrashDelay = std::chrono::milliseconds(250);
 constexpr auto partCrashDelay = std::chrono::milliseconds(100);
 constexpr int thirdEvent = 3;
+constexpr std::string_view limitPath = "/limit/";
 // Longer than the time after which an upstream that is not listed counts as ended.
 constexpr auto longPrefillDelay = std::chrono::seconds(7);
 // More than the buffers of two connections hold.
@@ -90,6 +91,11 @@
 void CrashableUpstream::handle(const std::shared_ptr<Web::HttpExchange>& exchange)
 {
     const Web::HttpRequest& request = exchange->request();
+    if (request.path.starts_with(limitPath)) {
+        this->requestLimit = request.path.substr(limitPath.size());
+        exchange->respond({ 200, "text/plain", {}, "", false });
+        return;
+    }
     if (request.header("X-Expect-Instance") != this->id) {
         exchange->respond({ 421, "text/plain", { { "X-Instance-Id", this->id } }, "", false });
         return;
@@ -103,7 +109,8 @@
         return;
     }
     if (this->mustReject(request)) {
-        Web::HttpReply rejection { 503, "text/plain", { { "X-Not-Executed", "1" } }, "", false };
+        Web::HttpReply rejection
+            = this->withOwnHeaders({ 503, "text/plain", { { "X-Not-Executed", "1" } }, "", false });
         if (hasSegment(request, "/unfinished/")) {
             exchange->beginStream(rejection);
             this->unfinishedExchanges.push_back(exchange);
@@ -119,7 +126,7 @@
     if (run->crash && run->crash->delay.count() == 0)
         this->crash(request);
     if (run->isStream && !(run->crash && run->crash->precedesHead)) {
-        Web::HttpReply head = makeSignedReply(request, 200, "");
+        Web::HttpReply head = this->withOwnHeaders(makeSignedReply(request, 200, ""));
         head.contentType = "text/event-stream";
         exchange->beginStream(head);
         const std::string_view last = request.header("Last-Event-Id");
@@ -128,6 +135,13 @@
     this->continueRun(run);
 }
 
+Web::HttpReply CrashableUpstream::withOwnHeaders(Web::HttpReply reply) const
+{
+    if (!this->requestLimit.empty())
+        reply.headers.push_back({ "Server-Limit", this->requestLimit });
+    return reply;
+}
+
 bool CrashableUpstream::mustReject(const Web::HttpRequest& request) const
 {
     if (hasSegment(request, "/rejected/"))
@@ -171,7 +185,7 @@
         } else if (run->isStream) {
             run->exchange->finish();
         } else {
-            run->exchange->respond(makeSignedReply(request, 200, "answer of " + this->id));
+            run->exchange->respond(this->withOwnHeaders(makeSignedReply(request, 200, "answer of " + this->id)));
         }
     });
 }
--- a/tests/standins/crashableupstream.h
+++ b/tests/standins/crashableupstream.h
@@ -24,7 +24,9 @@
  * segment /rejected-twice/ the first two sends of a request are rejected as not run, whichever upstreams receive them,
  * and with /rejected/ all are; with /slow/ a run takes long, with /prefill/ its first event comes after seconds, and
  * with /large/ its events are larger than what connections buffer. The segment /unfinished/ leaves out the end of a
- * rejection. Each request that begins to run, each crash and each order to reserve memory is a line of the run log.
+ * rejection. A POST to /limit/N makes all further answers name N requests a second as the upstream's limit, and one to
+ * /limit/ ends that. Each request that begins to run, each crash and each order to reserve memory is a line of the run
+ * log.
  */
 class CrashableUpstream {
 public:
@@ -40,6 +42,8 @@
     void handle(const std::shared_ptr<Web::HttpExchange>& exchange);
     /** Returns whether a send of the request is one that its path wants to be rejected. */
     bool mustReject(const Web::HttpRequest& request) const;
+    /** Adds what the upstream says of itself to the head of an answer. */
+    Web::HttpReply withOwnHeaders(Web::HttpReply reply) const;
     void continueRun(const std::shared_ptr<Run>& run);
     void crash(const Web::HttpRequest& request) const;
 
@@ -49,6 +53,8 @@
     std::string runLogPath;
     RunLog runLog;
     EngineLeases leases;
+    /** The limit that its answers name, in requests a second; none if empty. */
+    std::string requestLimit;
     /** Kept open, since the ends of these answers are never sent. */
     std::vector<std::shared_ptr<Web::HttpExchange>> unfinishedExchanges;
 };
