Keep the limits that upstreams name, in all gateways together

Callers saw nothing of it: an upstream in need that named a limit of 1.2 requests a second went on to get as many as before, 15 in 4 s where 12 are allowed. Nothing read the header Server-Limit.

The limit is told to all gateways as soon as one learns of it. Each request to such an upstream then needs a permit of one gateway, the issuer, which all gateways choose alike among those that they reach. An equal share for each gateway would not do: with more gateways than requests a second no share is as large as one request. Permits run out after a second on a clock that counts suspensions, unused ones are returned. An issuer that does not reply within 300 ms is left out. An issuer issues the whole limit if six tenths of the gateways get their permits there, else their part, so both sides of a cut together stay below one and a half times the limit, as upstreams tolerate. If no upstream takes a request, the caller is refused at once (code 2023) with the time at which there is room for it.

--- a/src/apps/gateway/dispatcher.cpp
+++ b/src/apps/gateway/dispatcher.cpp
@@ -26,13 +26,14 @@
 } // namespace
 
 Dispatcher::Dispatcher(const Foundation::Clock& clock, Membership::UpstreamDirectory& directory,
-    Relay::UpstreamHealth& health, Placement::LoadLedger& ledger,
+    Relay::UpstreamHealth& health, Placement::LoadLedger& ledger, PermitExchange& permits,
     std::map<std::string, std::string, std::less<>> regionByFailureDomain, std::string failureDomain,
     std::string_view process)
     : clock(clock)
     , directory(directory)
     , health(health)
     , ledger(ledger)
+    , permits(permits)
     , regionByFailureDomain(std::move(regionByFailureDomain))
     , failureDomain(std::move(failureDomain))
     , processHash(Foundation::hash64(process))
@@ -119,14 +120,47 @@
     return healthy.empty() ? listed : healthy;
 }
 
+bool Dispatcher::canReceive(const Upstream& upstream, const UpstreamCriteria& criteria, TimePoint now)
+{
+    const std::string& generation = upstream.generationId();
+    return !criteria.triedGenerations.contains(generation) && this->isWithinColdStartLimit(upstream, now)
+        && this->permits.allows(generation);
+}
+
+void Dispatcher::countRequest(std::string_view upstreamGeneration)
+{
+    this->coldStartLimiter.countRequest(upstreamGeneration, this->clock.now());
+    this->permits.countRequest(upstreamGeneration);
+}
+
+std::vector<std::string> Dispatcher::upstreamsThatNeedPermits(const UpstreamCriteria& criteria)
+{
+    if (!this->permits.hasLimits())
+        return {};
+    const TimePoint now = this->clock.now();
+    std::vector<std::string> limited;
+    for (const Upstream* const upstream : this->usableUpstreams(criteria)) {
+        const std::string& generation = upstream->generationId();
+        if (criteria.triedGenerations.contains(generation) || !this->isWithinColdStartLimit(*upstream, now))
+            continue;
+        if (!this->permits.isLimited(generation) || this->permits.hasPermit(generation))
+            return {};
+        limited.push_back(generation);
+    }
+    // Requests that arrive together are spread.
+    if (!limited.empty())
+        std::rotate(limited.begin(),
+            limited.begin() + static_cast<std::ptrdiff_t>(Foundation::randomBelow(limited.size())), limited.end());
+    return limited;
+}
+
 const Upstream* Dispatcher::chooseUpstream(const UpstreamCriteria& criteria)
 {
     const TimePoint now = this->clock.now();
     const Upstream* chosen = nullptr;
     double lowestCost = 0;
     for (const Upstream* const upstream : this->usableUpstreams(criteria)) {
-        if (criteria.triedGenerations.contains(upstream->generationId())
-            || !this->isWithinColdStartLimit(*upstream, now))
+        if (!this->canReceive(*upstream, criteria, now))
             continue;
         const auto inFlight = static_cast<double>(this->ledger.totalUsage(upstream->entry.id).requests);
         const double slots = std::max(1, upstream->entry.slots);
@@ -145,7 +179,7 @@
     const Upstream* const chosen = this->chooseUpstream(criteria);
     if (!chosen)
         return std::nullopt;
-    this->coldStartLimiter.countRequest(chosen->generationId(), this->clock.now());
+    this->countRequest(chosen->generationId());
     Placement::DispatchedRequest request;
     request.upstream = chosen->entry.id;
     return Assignment { chosen->entry.id, chosen->generationId(), chosen->entry.address, {},
@@ -223,11 +257,11 @@
         candidate.slowdownFactor = this->health.slowdownFactor(upstream->generationId());
         candidate.canUseLastSlots = this->canUseLastSlots(*upstream);
         const bool isCold = now < upstream->coldUntil;
-        candidate.canRun = !pending.criteria.triedGenerations.contains(upstream->generationId())
-            && this->isWithinColdStartLimit(*upstream, now);
-        // It is not known whether a prefilled part counts towards the cold-start limit, so cold engines are not used as
-        // helpers.
-        candidate.canHelp = !isCold && !upstream->missingUntil && this->health.canHelp(upstream->generationId(), now);
+        candidate.canRun = this->canReceive(*upstream, pending.criteria, now);
+        // It is not known whether a prefilled part counts towards the cold-start limit, or towards a limit that the
+        // engine names, so such engines are not used as helpers.
+        candidate.canHelp = !isCold && !upstream->missingUntil && !this->permits.isLimited(upstream->generationId())
+            && this->health.canHelp(upstream->generationId(), now);
         candidates.push_back(candidate);
     }
     Placement::PromptDemand demand = prompt.demand;
@@ -253,7 +287,7 @@
     const PendingPrompt pending = std::move(found->second);
     this->pendingPrompts.erase(found);
     const Upstream& upstream = *this->placementUpstreams.at(placement.runnerIndex);
-    this->coldStartLimiter.countRequest(upstream.generationId(), this->clock.now());
+    this->countRequest(upstream.generationId());
     const std::int64_t partPrefillUs
         = std::chrono::duration_cast<std::chrono::microseconds>(placement.partPrefillTime).count();
     Placement::DispatchedRequest request;
--- a/src/apps/gateway/dispatcher.h
+++ b/src/apps/gateway/dispatcher.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "permitexchange.h"
+
 #include <foundation/clock.h>
 #include <foundation/metrics.h>
 #include <membership/upstreamdirectory.h>
@@ -63,8 +65,9 @@
 class Dispatcher {
 public:
     Dispatcher(const Foundation::Clock& clock, Membership::UpstreamDirectory& directory, Relay::UpstreamHealth& health,
-        Placement::LoadLedger& ledger, std::map<std::string, std::string, std::less<>> regionByFailureDomain,
-        std::string failureDomain, std::string_view process);
+        Placement::LoadLedger& ledger, PermitExchange& permits,
+        std::map<std::string, std::string, std::less<>> regionByFailureDomain, std::string failureDomain,
+        std::string_view process);
 
     /** Sets the policy that describes the services. */
     void setPolicy(std::shared_ptr<const Policy::TrafficPolicy> policy);
@@ -106,6 +109,12 @@
      */
     Foundation::Duration pauseLeft(const UpstreamCriteria& criteria) const;
 
+    /**
+     * Returns the generations of the upstreams that could take a request if this process had a permit for one of them;
+     * empty if the request needs no further permit.
+     */
+    std::vector<std::string> upstreamsThatNeedPermits(const UpstreamCriteria& criteria);
+
     /** Removes a prompt from its queue without calling its callbacks. */
     void withdraw(Placement::QueuedPromptId id);
 
@@ -125,6 +134,10 @@
     bool isWithinColdStartLimit(const Membership::Upstream& upstream, Foundation::TimePoint now);
     /** Returns the least loaded upstream that can accept a request without a prompt now; null if there is none. */
     const Membership::Upstream* chooseUpstream(const UpstreamCriteria& criteria);
+    /** Returns whether the limits of the upstream allow another request now, and whether it has not been tried. */
+    bool canReceive(const Membership::Upstream& upstream, const UpstreamCriteria& criteria, Foundation::TimePoint now);
+    /** Counts a request that is about to be sent. */
+    void countRequest(std::string_view upstreamGeneration);
     std::optional<Placement::PromptPlacement> place(
         const Placement::QueuedPrompt& prompt, const PendingPrompt& pending);
     void dispatch(Placement::QueuedPromptId id, const Placement::PromptPlacement& placement);
@@ -141,6 +154,7 @@
     Membership::UpstreamDirectory& directory;
     Relay::UpstreamHealth& health;
     Placement::LoadLedger& ledger;
+    PermitExchange& permits;
     Relay::ColdStartLimiter coldStartLimiter;
     std::map<std::string, std::string, std::less<>> regionByFailureDomain;
     std::string failureDomain;
--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -100,6 +100,8 @@
           settings.node.peerEndpoint.text(),
           { [this](const Wire::PeerLoad& load) {
                this->ledger.setPeerUsage(load.process, load.usages, load.isComplete);
+               if (load.isComplete)
+                   this->permits.recordSupport(load.process, load.permitIssuer);
                this->onLoadChanged(false);
            },
               [this](const std::string& peer) {
@@ -122,12 +124,25 @@
                   this->suspectGeneration(notice.generation);
                   this->partCrashes.onUpstreamReported(notice.generation);
               },
+              [this](const Wire::UpstreamLimitNotice& notice) { this->onUpstreamLimits(notice); },
+              [this](const std::string& peer, const Wire::PermitRequest& request) {
+                  this->permits.onRequest(peer, request);
+              },
+              [this](const std::string& peer, const Wire::PermitReply& reply) { this->permits.onReply(peer, reply); },
+              [this](const Wire::PermitReturn& returned) { this->permits.onReturn(returned); },
               [this] { return this->ledger.ownUsage(); }, [this] { return this->makeSuspectSnapshot(); },
-              [this] { this->applyLimits(); } })
+              [this] { return Wire::UpstreamLimitNotice { this->upstreamLimits.notices(this->clock.now()) }; },
+              [this] { return this->permits.supportedIssuer(); }, [this] { this->applyLimits(); } })
+    , permits(this->clock, this->bootClock,
+          { settings.node.name, settings.node.failureDomain, settings.node.processorCores }, this->upstreamLimits,
+          { [this](const std::string& peer, const Wire::Message& message) { this->peers.sendTo(peer, message); },
+              [this] { return this->peers.reachableGateways(); }, [this] { return this->peers.presentMemberCount(); },
+              [this] { this->onLoadChanged(false); } })
     , storeSynchronizer(this->transfers, this->clock, this->bootClock, this->metrics, this->settings,
           { [this] { this->onStoreCacheChanged(); },
               [this](const std::string& upstreamGeneration) {
                   this->health.remove(upstreamGeneration);
+                  this->permits.remove(upstreamGeneration);
                   this->dispatcher.removeGeneration(upstreamGeneration);
                   // Possible crashes of the generation count from now on.
                   this->nextCrashConfirmation = {};
@@ -155,11 +170,14 @@
     , partCrashStore(this->suspectWriter, this->clock, this->wallClock, this->promptParts)
     , partCrashes(this->clock, this->promptParts, this->partCrashStore,
           [this](const Wire::SuspectNotice& notice) { this->peers.broadcast(notice); })
-    , dispatcher(this->clock, this->storeSynchronizer.directory(), this->health, this->ledger,
+    , dispatcher(this->clock, this->storeSynchronizer.directory(), this->health, this->ledger, this->permits,
           settings.node.regionByFailureDomain, settings.node.failureDomain, settings.node.name)
     , proxyContext { this->clock, this->metrics, this->transfers, this->storeSynchronizer, this->dispatcher,
         this->ledger, this->retryBudget, this->health, this->suspects, this->silenceWatch, this->promptParts,
-        this->partCrashes, this->answerMemory, this->memoryLeases,
+        this->partCrashes, this->answerMemory, this->memoryLeases, this->permits,
+        [this](const std::string& generation, std::optional<double> requestsPerSecond, TimePoint sentAt) {
+            this->onLimitInAnswer(generation, requestsPerSecond, sentAt);
+        },
         [this](bool isAdded) { this->onLoadChanged(isAdded); },
         [this](const std::vector<CrashNotice>& notices) { this->onOwnSuspects(notices); },
         [this](const std::string& generation) { this->onOwnSuspects(this->suspectGeneration(generation)); },
@@ -408,6 +426,34 @@
     this->peers.broadcast(notice);
 }
 
+void GatewayCore::onLimitInAnswer(
+    const std::string& generation, std::optional<double> requestsPerSecond, TimePoint sentAt)
+{
+    const TimePoint now = this->clock.now();
+    if (!this->upstreamLimits.recordAnswer(generation, requestsPerSecond, sentAt, now))
+        return;
+    this->peers.broadcast(Wire::UpstreamLimitNotice { { this->upstreamLimits.notice(generation, now) } });
+    this->onLimitChanged(generation, "upstream");
+}
+
+void GatewayCore::onUpstreamLimits(const Wire::UpstreamLimitNotice& notice)
+{
+    for (const RateLimit::LimitNotice& limit : notice.limits) {
+        if (this->upstreamLimits.recordNotice(limit, this->clock.now()))
+            this->onLimitChanged(limit.upstreamGeneration, "gateway");
+    }
+}
+
+void GatewayCore::onLimitChanged(const std::string& generation, std::string_view source)
+{
+    const std::optional<double> limit = this->upstreamLimits.find(generation);
+    logEvent(Event::UpstreamLimited, "",
+        "upstream=" + generation + " requests_per_second=" + (limit ? std::to_string(*limit) : "none")
+            + " told_by=" + std::string(source));
+    this->permits.onLimitChanged(generation);
+    this->onLoadChanged(false);
+}
+
 void GatewayCore::tick()
 {
     this->checkForSuspension();
@@ -453,6 +499,7 @@
     this->peers.tick();
     this->dispatcher.setPeerLoadAvailable(this->peers.isMajorityConnected());
     this->memoryLeases.tick();
+    this->permits.tick();
     std::vector<std::shared_ptr<ProxiedRequest>> activeRequests;
     for (const auto& [key, request] : this->requests)
         activeRequests.push_back(request);
@@ -481,6 +528,7 @@
         return;
     logEvent(Event::ProcessStopping, "", "under_way=" + std::to_string(this->requests.size()));
     this->shutdownStart = this->clock.now();
+    this->peers.broadcast(Wire::PeerDeparture {});
     this->shutdownHandler = std::move(onDone);
 }
 
@@ -502,6 +550,7 @@
     this->metrics.setGauge("bluebell_upstreams", "", static_cast<double>(this->storeSynchronizer.directory().size()));
     this->metrics.setGauge("bluebell_answer_memory_bytes", "", static_cast<double>(this->answerMemory.heldBytes()));
     this->metrics.setGauge("bluebell_suspects", "", static_cast<double>(this->suspects.size()));
+    this->metrics.setGauge("bluebell_limited_upstreams", "", static_cast<double>(this->upstreamLimits.size()));
     this->metrics.setGauge("bluebell_gateways", "", static_cast<double>(this->peers.memberCount()));
     return this->metrics.render();
 }
--- a/src/apps/gateway/gatewaycore.h
+++ b/src/apps/gateway/gatewaycore.h
@@ -3,6 +3,7 @@
 #include "completionstore.h"
 #include "gatewaysettings.h"
 #include "peerconnections.h"
+#include "permitexchange.h"
 #include "proxiedrequest.h"
 #include "storesynchronizer.h"
 #include "suspectstore.h"
@@ -61,6 +62,12 @@
     void onLoadChanged(bool isAdded);
     void flushLoad();
     void broadcastUpstreamFailure(const Wire::UpstreamFailureNotice& notice);
+    /** Records what an answer says of the limit of an upstream, and tells the other gateways what is new. */
+    void onLimitInAnswer(
+        const std::string& generation, std::optional<double> requestsPerSecond, Foundation::TimePoint sentAt);
+    void onUpstreamLimits(const Wire::UpstreamLimitNotice& notice);
+    /** Handles that the limit of an upstream is another one now. @param source who said so. */
+    void onLimitChanged(const std::string& generation, std::string_view source);
     /** Merges the suspects of another gateway. */
     void onPeerSuspects(const Wire::SuspectNotice& notice);
     /** Tells the other gateways of crashes that this process observed, and stores them if they are repeated. */
@@ -98,7 +105,9 @@
     Quarantine::SilenceWatch silenceWatch;
     Quarantine::PromptPartRegistry promptParts;
     Relay::AnswerMemory answerMemory;
+    RateLimit::UpstreamLimits upstreamLimits;
     PeerConnections peers;
+    PermitExchange permits;
     StoreSynchronizer storeSynchronizer;
     SuspectTopicWriter suspectWriter;
     SuspectStore suspectStore;
--- a/src/apps/gateway/peerconnections.cpp
+++ b/src/apps/gateway/peerconnections.cpp
@@ -94,6 +94,21 @@
     return this->members.size() + (this->members.contains(this->self.process) ? 0 : 1);
 }
 
+std::size_t PeerConnections::presentMemberCount() const
+{
+    return this->memberCount() - std::min(this->departedMembers.size(), this->memberCount() - 1);
+}
+
+std::vector<Membership::LoadRelayCandidate> PeerConnections::reachableGateways() const
+{
+    std::vector<Membership::LoadRelayCandidate> gateways;
+    for (const auto& [domain, processes] : this->loadRelays.candidatesByDomain()) {
+        for (const auto& [process, candidate] : processes)
+            gateways.push_back(candidate);
+    }
+    return gateways;
+}
+
 bool PeerConnections::isMajorityConnected() const
 {
     return static_cast<double>(this->peers.size() + 1) >= connectedFraction * static_cast<double>(this->memberCount());
@@ -126,7 +141,8 @@
 
 Wire::PeerLoad PeerConnections::makeLoad(bool isComplete, std::vector<Placement::UpstreamUsage> usages)
 {
-    return { this->self.process, this->incarnation, ++this->lastNumber, isComplete, std::move(usages) };
+    return { this->self.process, this->incarnation, ++this->lastNumber, isComplete, std::move(usages),
+        isComplete ? this->handlers.permitIssuer() : std::string() };
 }
 
 void PeerConnections::publishLoad(std::vector<Placement::UpstreamUsage> changes)
@@ -271,7 +287,7 @@
     const Wire::PeerHello hello { Wire::protocolVersion, this->self.process, this->address, this->self.failureDomain,
         this->incarnation, std::lround(this->self.processorCores * 1e3) };
     const std::vector<Wire::Message> greeting { hello, this->makeLoad(true, this->handlers.fullLoad()),
-        this->handlers.suspects() };
+        this->handlers.suspects(), this->handlers.upstreamLimits() };
     this->client.send(connection, greeting);
     this->updateCandidateAt(peerAddress);
 }
@@ -327,12 +343,23 @@
         this->handlers.onSuspects(*suspects);
     } else if (const auto* const notice = std::get_if<Wire::UpstreamFailureNotice>(&message)) {
         this->handlers.onUpstreamFailure(*notice);
+    } else if (const auto* const limits = std::get_if<Wire::UpstreamLimitNotice>(&message)) {
+        this->handlers.onUpstreamLimits(*limits);
+    } else if (const auto* const request = std::get_if<Wire::PermitRequest>(&message)) {
+        this->handlers.onPermitRequest(peer.process, *request);
+    } else if (const auto* const reply = std::get_if<Wire::PermitReply>(&message)) {
+        this->handlers.onPermitReply(peer.process, *reply);
+    } else if (const auto* const returned = std::get_if<Wire::PermitReturn>(&message)) {
+        this->handlers.onPermitReturn(*returned);
+    } else if (std::holds_alternative<Wire::PeerDeparture>(message)) {
+        this->departedMembers.insert(peer.process);
     }
 }
 
 void PeerConnections::handleHello(Incoming& connection, const Wire::PeerHello& hello)
 {
     connection.process = hello.process;
+    this->departedMembers.erase(hello.process);
     Peer& peer = this->peers[hello.process];
     if (peer.incarnation != hello.incarnation)
         peer.lastNumber = 0;
--- a/src/apps/gateway/peerconnections.h
+++ b/src/apps/gateway/peerconnections.h
@@ -35,10 +35,18 @@
         std::function<void(const Wire::StoreCacheReply&)> onReply;
         std::function<void(const Wire::SuspectNotice&)> onSuspects;
         std::function<void(const Wire::UpstreamFailureNotice&)> onUpstreamFailure;
+        std::function<void(const Wire::UpstreamLimitNotice&)> onUpstreamLimits;
+        std::function<void(const std::string& peer, const Wire::PermitRequest&)> onPermitRequest;
+        std::function<void(const std::string& peer, const Wire::PermitReply&)> onPermitReply;
+        std::function<void(const Wire::PermitReturn&)> onPermitReturn;
         /** Returns the load of this process at all upstreams. */
         std::function<std::vector<Placement::UpstreamUsage>()> fullLoad;
         /** Returns the suspects that are registered in this process. */
         std::function<Wire::SuspectNotice()> suspects;
+        /** Returns the limits of upstreams that are known in this process. */
+        std::function<Wire::UpstreamLimitNotice()> upstreamLimits;
+        /** Returns the gateway at which this process gets permits; empty if it needs none. */
+        std::function<std::string()> permitIssuer;
         /** Called when memberCount() may have changed. */
         std::function<void()> onMembersChanged;
     };
@@ -59,6 +67,9 @@
     /** Opens and closes connections and sends the heartbeats and updates that are due. */
     void tick();
 
+    /** Sends a message to one peer; does nothing if it is not connected. */
+    void sendTo(const std::string& process, const Wire::Message& message);
+
     /** Sends a message to every connected peer. */
     void broadcast(const Wire::Message& message);
 
@@ -80,6 +91,12 @@
     /** Returns the number of listed gateways, including this one. */
     std::size_t memberCount() const;
 
+    /** Returns the number of listed gateways, including this one, without those that have said that they stop. */
+    std::size_t presentMemberCount() const;
+
+    /** Returns the gateways that are connected in both directions, and this one. */
+    std::vector<Membership::LoadRelayCandidate> reachableGateways() const;
+
     /** Returns whether so many of the listed gateways are connected that their load counts as the whole load. */
     bool isMajorityConnected() const;
 
@@ -124,7 +141,6 @@
     /** Adds a peer to the load relay candidates if it is connected both ways, and removes it otherwise. */
     void updateCandidate(const Peer& peer);
     void updateCandidateAt(std::string_view peerAddress);
-    void sendTo(const std::string& process, const Wire::Message& message);
     Wire::PeerLoad makeLoad(bool isComplete, std::vector<Placement::UpstreamUsage> usages);
     Foundation::Duration heartbeatInterval() const;
     std::vector<Wire::ConnectionId> openConnections() const;
@@ -139,6 +155,8 @@
     std::uint64_t lastNumber = 0;
     /** The addresses of the listed gateways, by process name. */
     std::map<std::string, std::string> members;
+    /** The listed gateways that have said that they stop, and have not connected since. */
+    std::set<std::string> departedMembers;
     /** The peers with an incoming connection, by process name. */
     std::map<std::string, Peer, std::less<>> peers;
     /** By address of the peer. */
--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -227,6 +227,44 @@
 }
 
 void ProxiedRequest::dispatch()
+{
+    this->nextPermitRequestAt.reset();
+    const std::vector<std::string> limited = this->context.dispatcher.upstreamsThatNeedPermits(this->criteria);
+    if (limited.empty())
+        this->assign();
+    else
+        this->requestPermit(limited);
+}
+
+void ProxiedRequest::requestPermit(const std::vector<std::string>& upstreamGenerations)
+{
+    this->permitRequestId = this->context.permits.request(
+        upstreamGenerations, [weak = this->weak_from_this()](std::optional<Duration> retryAfter) {
+            const auto self = weak.lock();
+            if (!self || self->hasEnded)
+                return;
+            self->permitRequestId = 0;
+            self->onPermitDecided(retryAfter);
+        });
+}
+
+void ProxiedRequest::onPermitDecided(std::optional<Duration> retryAfter)
+{
+    if (!retryAfter) {
+        this->assign();
+        return;
+    }
+    // A refusal would cut a stream that has begun, so it waits as long as its caller does.
+    const TimePoint now = this->context.clock.now();
+    const TimePoint callerTimeoutAt
+        = std::min(this->deadline, this->lastDeliveredAt + PlatformAdapter::streamEventTimeout(*this->route));
+    if (this->hasStreamBegun && now + *retryAfter < callerTimeoutAt)
+        this->nextPermitRequestAt = now + *retryAfter;
+    else
+        this->fail(ResultCode::UpstreamLimited, retryAfter);
+}
+
+void ProxiedRequest::assign()
 {
     if (this->context.dispatcher.isEngineService(this->criteria.service)) {
         this->enqueuePrompt();
@@ -394,8 +432,10 @@
     const std::shared_ptr<ProxiedRequest> self = this->shared_from_this();
     const std::uint64_t attemptNumber = this->currentAttemptNumber;
     this->attempt->call = this->context.transfers.stream(std::move(call),
-        { [self, attemptNumber, generation = assignment.upstreamGeneration](
-              Platform::HttpAnswerHead head) { self->onAnswerHead(attemptNumber, generation, std::move(head)); },
+        { [self, attemptNumber, generation = assignment.upstreamGeneration, sentAt = this->context.clock.now()](
+              Platform::HttpAnswerHead head) {
+             self->onAnswerHead(attemptNumber, generation, sentAt, std::move(head));
+         },
             [self, attemptNumber](const std::string& data) { self->onAnswerData(attemptNumber, data); },
             [self, attemptNumber](
                 const Platform::HttpCallResult& result) { self->onCallEnded(attemptNumber, result); } });
@@ -408,10 +448,10 @@
 }
 
 void ProxiedRequest::onAnswerHead(
-    std::uint64_t attemptNumber, const std::string& generation, Platform::HttpAnswerHead head)
+    std::uint64_t attemptNumber, const std::string& generation, TimePoint sentAt, Platform::HttpAnswerHead head)
 {
     PlatformAdapter::AnswerHeaders decoded = PlatformAdapter::decodeAnswerHeaders(head, this->request.id);
-    this->recordNotices(generation, decoded);
+    this->recordNotices(generation, sentAt, decoded);
     const bool isCurrent = this->attempt && attemptNumber == this->currentAttemptNumber;
     const bool isSuccess
         = isValidAnswer(decoded, head.status) && !decoded.isNotExecuted && head.status < firstServerErrorStatus;
@@ -439,7 +479,8 @@
         this->onAttemptFailed(RunOutcome::MayHaveRun, ResultCode::UpstreamFailed, true);
 }
 
-void ProxiedRequest::recordNotices(const std::string& generation, const PlatformAdapter::AnswerHeaders& headers)
+void ProxiedRequest::recordNotices(
+    const std::string& generation, TimePoint sentAt, const PlatformAdapter::AnswerHeaders& headers)
 {
     // Another upstream answers at the address.
     if (!headers.belongsToRequest || headers.isMisaddressed)
@@ -447,6 +488,7 @@
     const TimePoint now = this->context.clock.now();
     if (headers.isLeaving && this->context.storeSynchronizer.directory().markLeaving(generation, now))
         logEvent(Event::UpstreamDraining, this->request.id, "upstream=" + generation + " change=says that it leaves");
+    this->context.onLimitInAnswer(generation, headers.requestsPerSecond, sentAt);
     if (!headers.pause)
         return;
     this->context.health.recordPause(generation, *headers.pause, now);
@@ -709,6 +751,7 @@
     if (this->queuedPromptId != 0)
         this->context.dispatcher.withdraw(this->queuedPromptId);
     this->queuedPromptId = 0;
+    this->withdrawPermitRequest();
     this->giveUnsentRetryBack();
     this->setCurrentAttemptAside();
     this->attempt = std::move(resumed->attempt);
@@ -1088,6 +1131,7 @@
     if (this->queuedPromptId != 0)
         this->context.dispatcher.withdraw(this->queuedPromptId);
     this->queuedPromptId = 0;
+    this->withdrawPermitRequest();
     this->giveUnsentRetryBack();
     this->context.onEnded(*this);
 }
@@ -1112,7 +1156,9 @@
     }
     this->logIfLate(now);
     this->checkParkedAttempts(now);
-    if (!this->attempt)
+    if (this->nextPermitRequestAt && now >= *this->nextPermitRequestAt)
+        this->dispatch();
+    if (this->hasEnded || !this->attempt)
         return;
     this->updateDoubt(now);
     if (this->attempt->isRejected()) {
@@ -1357,6 +1403,12 @@
         this->context.retryBudget.giveBack(this->criteria.service, *spentAt);
 }
 
+void ProxiedRequest::withdrawPermitRequest()
+{
+    this->context.permits.withdraw(std::exchange(this->permitRequestId, 0));
+    this->nextPermitRequestAt.reset();
+}
+
 Duration ProxiedRequest::timeLeft() const { return this->deadline - this->context.clock.now(); }
 
 void ProxiedRequest::logIfLate(TimePoint now)
@@ -1382,6 +1434,8 @@
 {
     if (this->queuedPromptId != 0)
         return "queue";
+    if (this->permitRequestId != 0 || this->nextPermitRequestAt)
+        return "permit";
     if (!this->attempt)
         return "nothing";
     if (this->attempt->call == 0)
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -48,6 +48,11 @@
     PartCrashExchange& partCrashes;
     Relay::AnswerMemory& answerMemory;
     MemoryLeaseManager<PlatformAdapter::EngineOrders>& memoryLeases;
+    PermitExchange& permits;
+    /** Called with what an answer to a request says of the limit of its upstream; none if it names none. */
+    std::function<void(
+        const std::string& generation, std::optional<double> requestsPerSecond, Foundation::TimePoint sentAt)>
+        onLimitInAnswer;
     /** Called after a change of the ledger or of the health of upstreams; added load is published at once. */
     std::function<void(bool isAdded)> onLoadChanged;
     /** Called with new or more certain crash notices, to be sent to the other gateways and stored. */
@@ -145,7 +150,13 @@
     bool refuseIfQuarantined();
     /** Ends the request and returns true if it has a prompt part that crashes upstreams. */
     bool refuseIfPartQuarantined();
+    /** Sends the request to an upstream, once one takes it. */
     void dispatch();
+    /** Asks for a permit for one of several upstreams, without which none takes the request. */
+    void requestPermit(const std::vector<std::string>& upstreamGenerations);
+    void onPermitDecided(std::optional<Foundation::Duration> retryAfter);
+    /** Sends the request to an upstream that takes it now, or queues it if it is a prompt. */
+    void assign();
     void enqueuePrompt();
     PendingPrompt makePendingPrompt() const;
     /** Returns the prompt as it would be queued if the current attempt ended now. */
@@ -157,9 +168,11 @@
     void sendAttempt(const std::vector<std::string>& leaseNames);
     PlatformAdapter::ForwardingHeaders makeForwardingHeaders(const std::vector<std::string>& leaseNames) const;
 
-    void onAnswerHead(std::uint64_t attemptNumber, const std::string& generation, Platform::HttpAnswerHead head);
+    void onAnswerHead(std::uint64_t attemptNumber, const std::string& generation, Foundation::TimePoint sentAt,
+        Platform::HttpAnswerHead head);
     /** Records what an upstream says of itself in the head of an answer. */
-    void recordNotices(const std::string& generation, const PlatformAdapter::AnswerHeaders& headers);
+    void recordNotices(
+        const std::string& generation, Foundation::TimePoint sentAt, const PlatformAdapter::AnswerHeaders& headers);
     void onAnswerData(std::uint64_t attemptNumber, std::string_view data);
     void onCallEnded(std::uint64_t attemptNumber, const Platform::HttpCallResult& result);
     /** Handles data of an earlier attempt, or the orderly end of its answer. */
@@ -232,6 +245,8 @@
     Foundation::Duration timeLeft() const;
     /** Spends a unit of the retry budget for the next send. Returns false if the budget is exhausted. */
     bool trySpendRetry(Foundation::TimePoint now);
+    /** Gives up waiting for a permit. */
+    void withdrawPermitRequest();
     /** Gives the unit back that was spent for a send that has not taken place. */
     void giveUnsentRetryBack();
     /** Logs, once for each wait, what the request waits for if its caller has waited for longer than the target. */
@@ -301,6 +316,10 @@
     bool isWaitLogged = false;
     /** 0 while the request is not queued. */
     Placement::QueuedPromptId queuedPromptId = 0;
+    /** 0 while the request waits for no permit. */
+    PermitRequestId permitRequestId = 0;
+    /** When a stream that has begun asks for a permit again; none if it does not wait for that. */
+    std::optional<Foundation::TimePoint> nextPermitRequestAt;
     std::optional<Attempt> attempt;
     std::vector<ParkedAttempt> parkedAttempts;
     /** Identifies the current attempt, so that callbacks of earlier ones are ignored. */
--- a/src/libs/foundation/resultcode.h
+++ b/src/libs/foundation/resultcode.h
@@ -42,6 +42,7 @@
     StaleKnowledge = 2020,
     CrashSuspected = 2021,
     UpstreamRejected = 2022,
+    UpstreamLimited = 2023,
     DeadlineExceeded = 3000,
     ConnectionLost = 3001,
     UpstreamFailed = 3002,
--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -131,6 +131,18 @@
         this->object[key] = std::move(list);
     }
 
+    void operator()(const char* key, const std::vector<RateLimit::LimitNotice>& notices)
+    {
+        Json list = Json::array();
+        for (const RateLimit::LimitNotice& notice : notices) {
+            Json item = { notice.upstreamGeneration, Foundation::toMilliseconds(notice.age) };
+            if (notice.requestsPerSecond)
+                item.push_back(*notice.requestsPerSecond);
+            list.push_back(std::move(item));
+        }
+        this->object[key] = std::move(list);
+    }
+
     void operator()(const char* key, const std::vector<Placement::UpstreamUsage>& usages)
     {
         Json list = Json::array();
@@ -251,6 +263,20 @@
                 std::chrono::milliseconds(item.at(1).get<std::int64_t>()), item.at(2).get<std::size_t>() });
     }
 
+    void operator()(const char* key, std::vector<RateLimit::LimitNotice>& notices) const
+    {
+        const Json* const found = this->find(key);
+        if (!found)
+            return;
+        for (const Json& item : *found) {
+            RateLimit::LimitNotice notice { item.at(0).get<std::string>(), std::nullopt,
+                std::chrono::milliseconds(item.at(1).get<std::int64_t>()) };
+            if (item.size() > 2)
+                notice.requestsPerSecond = item.at(2).get<double>();
+            notices.push_back(std::move(notice));
+        }
+    }
+
     void operator()(const char* key, std::vector<Placement::UpstreamUsage>& usages) const
     {
         const Json* const found = this->find(key);
@@ -336,6 +362,7 @@
     visitor("number", load.number);
     visitor("complete", load.isComplete);
     visitor("shares", load.usages);
+    visitor("permits", load.permitIssuer);
 }
 
 void FieldWriter::operator()(const char* key, const std::vector<PeerLoad>& loads)
@@ -532,6 +559,33 @@
     visitor("refused", notice.isRefused);
 }
 
+template <typename V> void visit(V&& visitor, MessageOf<UpstreamLimitNotice> auto& notice)
+{
+    visitor("limits", notice.limits);
+}
+
+template <typename V> void visit(V&& visitor, MessageOf<PermitRequest> auto& request)
+{
+    visitor("number", request.number);
+    visitor("waiting", request.isCallerWaiting);
+    visitor("upstreams", request.upstreams);
+}
+
+template <typename V> void visit(V&& visitor, MessageOf<PermitReply> auto& reply)
+{
+    visitor("number", reply.number);
+    visitor("run", reply.upstreamGeneration);
+    visitor("full", reply.untilRoomMs);
+    visitor("retry", reply.retryAfterMs);
+}
+
+template <typename V> void visit(V&& visitor, MessageOf<PermitReturn> auto& returned)
+{
+    visitor("run", returned.upstreamGeneration);
+}
+
+template <typename V> void visit(V&&, MessageOf<PeerDeparture> auto&) { }
+
 template <typename V> void visit(V&& visitor, MessageOf<LoadUpdate> auto& update)
 {
     visitor("scope", update.scope);
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -5,6 +5,7 @@
 #include <membership/upstreamload.h>
 #include <placement/upstreamusage.h>
 #include <quarantine/crashnotice.h>
+#include <ratelimit/upstreamlimits.h>
 #include <storecache/topiccache.h>
 
 #include <cstdint>
@@ -238,6 +239,11 @@
     /** Whether the list covers all upstreams, so that the process uses none of those that are missing in it. */
     bool isComplete = false;
     std::vector<Placement::UpstreamUsage> usages;
+    /**
+     * In complete updates: the gateway at which the process gets permits for upstreams with a limit; empty if it knows
+     * of none.
+     */
+    std::string permitIssuer;
 };
 
 /** The intended receivers of a load update. */
@@ -305,10 +311,44 @@
     TopicPart peers;
 };
 
+/** Tells the other gateways what upstreams say of the requests a second that they take from all gateways together. */
+struct UpstreamLimitNotice {
+    std::vector<RateLimit::LimitNotice> limits;
+};
+
+/** Asks for a permit to send a request to one of several upstreams. */
+struct PermitRequest {
+    /** Identifies the request at its sender. */
+    std::uint64_t number = 0;
+    /** Whether a caller waits for the decision. */
+    bool isCallerWaiting = false;
+    /** The upstreams, with what the sender knows of their limits. */
+    std::vector<RateLimit::LimitNotice> upstreams;
+};
+
+/** The decision on a request for a permit. */
+struct PermitReply {
+    std::uint64_t number = 0;
+    /** The upstream to which a request may be sent; empty if none takes one now. */
+    std::string upstreamGeneration;
+    /** How long the upstreams take no further request, in ms. */
+    std::int64_t untilRoomMs = 0;
+    /** When there is room for the caller who waits, in ms. */
+    std::int64_t retryAfterMs = 0;
+};
+
+/** Returns a permit that was not used. */
+struct PermitReturn {
+    std::string upstreamGeneration;
+};
+
+/** States that the sender stops for good or until it connects again. */
+struct PeerDeparture { };
+
 /** Any message. The index of a type in this list is its number on the wire, so the order must not change. */
 using Message = std::variant<Hello, Welcome, Heartbeat, LoadReport, ConfigurationRequest, ConfigurationDifference,
     SuspectNotice, Offer, Granted, BodyChunk, BodyAcknowledgement, Refused, AnswerHead, AnswerChunk, AnswerEnd, Cancel,
     Revoke, RevokeResult, Resume, Goodbye, PeerHello, PeerLoad, StoreCacheQuery, StoreCacheReply, LoadUpdate,
-    UpstreamFailureNotice>;
+    UpstreamFailureNotice, UpstreamLimitNotice, PermitRequest, PermitReply, PermitReturn, PeerDeparture>;
 
 } // namespace Wire
--- a/tests/auto/platformadapter/tst_messageheaders.cpp
+++ b/tests/auto/platformadapter/tst_messageheaders.cpp
@@ -136,6 +136,13 @@
     for (const char* const text : { "", "-1", "nan", "2s", "Fri, 31 Dec 1999 23:59:59 GMT" })
         CHECK_FALSE(pauseOf(503, text).has_value());
     CHECK_FALSE(pauseOf(429, "2").has_value());
+    const auto limitOf = [](const char* text) {
+        return decodeAnswerHeaders(makeAnswer(200, { { "Server-Limit", text } }), "a").requestsPerSecond;
+    };
+    DOUBLES_EQUAL(1.6, limitOf("1.6").value_or(-1), 0);
+    DOUBLES_EQUAL(0, limitOf("0").value_or(-1), 0);
+    for (const char* const text : { "", "-1", "nan", "many" })
+        CHECK_FALSE(limitOf(text).has_value());
 }
 
 TEST(MessageHeadersTest, generatedAnswersHaveARetryAfterHeader)
--- a/tests/auto/wire/tst_codec.cpp
+++ b/tests/auto/wire/tst_codec.cpp
@@ -54,13 +54,34 @@
     LONGS_EQUAL(88, decoded.promptTokens);
 }
 
+TEST(Codec, preservesLimitsOfUpstreamsAndRequestsForPermits)
+{
+    using namespace std::chrono_literals;
+    const UpstreamLimitNotice notice = roundTrip(UpstreamLimitNotice { { { "u/1", 1.6, 25ms }, { "u/2", {}, 3s } } });
+    DOUBLES_EQUAL(1.6, notice.limits.at(0).requestsPerSecond.value_or(0), 0);
+    CHECK_TRUE(notice.limits.at(0).age == 25ms);
+    CHECK_FALSE(notice.limits.at(1).requestsPerSecond.has_value());
+    const PermitRequest request = roundTrip(PermitRequest { 7, true, notice.limits });
+    UNSIGNED_LONGS_EQUAL(7, request.number);
+    CHECK_TRUE(request.isCallerWaiting);
+    STRCMP_EQUAL("u/2", request.upstreams.at(1).upstreamGeneration.c_str());
+    const PermitReply reply = roundTrip(PermitReply { 7, "u/1", 40, 90 });
+    STRCMP_EQUAL("u/1", reply.upstreamGeneration.c_str());
+    LONGS_EQUAL(40, reply.untilRoomMs);
+    LONGS_EQUAL(90, reply.retryAfterMs);
+    STRCMP_EQUAL("u/1", roundTrip(PermitReturn { "u/1" }).upstreamGeneration.c_str());
+    roundTrip(PeerDeparture {});
+}
+
 TEST(Codec, preservesMessagesBetweenGateways)
 {
     PeerLoad load;
     load.isComplete = true;
+    load.permitIssuer = "issuer";
     load.usages.push_back({ "u", 1'500, 2, 300, { { 250, { 1, 1'600 } }, { 1'000, { 2, 40'000 } } }, 700 });
     load.usages.push_back({ "empty", 0, 0, 0, {}, 0 });
     const PeerLoad decodedLoad = roundTrip(load);
+    STRCMP_EQUAL("issuer", decodedLoad.permitIssuer.c_str());
     CHECK_TRUE(decodedLoad.isComplete);
     CHECK_TRUE(decodedLoad.usages == load.usages);
 
--- a/tests/standins/standinupstream.cpp
+++ b/tests/standins/standinupstream.cpp
@@ -3,7 +3,9 @@
 #include "listenfailure.h"
 #include "standinanswer.h"
 
+#include <algorithm>
 #include <functional>
+#include <iterator>
 #include <memory>
 
 namespace {
@@ -32,6 +34,7 @@
 void StandinUpstream::handle(const std::shared_ptr<Web::HttpExchange>& exchange)
 {
     const Web::HttpRequest& request = exchange->request();
+    this->arrivals.push_back(std::chrono::steady_clock::now());
     if (this->behaviour == UpstreamBehaviour::Misaddressed || request.header("X-Expect-Instance") != this->id) {
         exchange->respond({ 421, "text/plain", { { "X-Instance-Id", "another" } }, "", false });
         return;
@@ -94,8 +97,7 @@
             this->answerStream(*exchange, last.empty() ? 1 : std::stoi(std::string(last)) + 1);
         else {
             Web::HttpReply reply = makeSignedReply(request, 200, "answer of " + this->id);
-            for (Web::HttpHeader& header : this->ownHeaders())
-                reply.headers.push_back(std::move(header));
+            std::ranges::move(this->ownHeaders(), std::back_inserter(reply.headers));
             exchange->respond(std::move(reply));
         }
     }
@@ -103,9 +105,12 @@
 
 std::vector<Web::HttpHeader> StandinUpstream::ownHeaders() const
 {
-    if (!this->saysLeaving)
-        return {};
-    return { { "Server-Leaving", "1" } };
+    std::vector<Web::HttpHeader> headers;
+    if (this->saysLeaving)
+        headers.push_back({ "Server-Leaving", "1" });
+    if (!this->requestLimit.empty())
+        headers.push_back({ "Server-Limit", this->requestLimit });
+    return headers;
 }
 
 void StandinUpstream::reject(Web::HttpExchange& exchange)
@@ -143,6 +148,7 @@
 {
     Web::HttpReply head = makeSignedReply(exchange.request(), 200, "");
     head.contentType = "text/event-stream";
+    std::ranges::move(this->ownHeaders(), std::back_inserter(head.headers));
     exchange.beginStream(head);
     for (int event = firstEvent; event <= streamEventCount; ++event) {
         if (this->behaviour == UpstreamBehaviour::CloseMidStream && event == 3) {
--- a/tests/standins/standinupstream.h
+++ b/tests/standins/standinupstream.h
@@ -71,6 +71,10 @@
     bool saysLeaving = false;
     /** The Retry-After header of its rejections; none if empty. */
     std::string retryAfter;
+    /** The Server-Limit header of its answers and rejections; none if empty. */
+    std::string requestLimit;
+    /** When each request arrived, whether it was run or not. */
+    std::vector<std::chrono::steady_clock::time_point> arrivals;
     /** The number of requests that it rejected as not run. */
     int rejections = 0;
     /** How long it falls silent. */
