Select the issuer of permits once a tick, and tell callers who are refused for a limit a time at which there is room

A caller was told a time that was varied by up to a quarter, so some came back before there was room. The issuer gives each caller a time of its own, so it is passed on as it is, rounded up. The issuer was selected anew for each request, which copies the list of gateways.

--- a/src/apps/gateway/permitexchange.cpp
+++ b/src/apps/gateway/permitexchange.cpp
@@ -35,6 +35,7 @@
     , handlers(std::move(handlers))
     , issuer(bootClock)
     , stock(bootClock)
+    , currentIssuer(this->self.process)
 {
 }
 
@@ -80,7 +81,7 @@
 
 bool PermitExchange::submit(PermitRequestId id, PendingRequest pending)
 {
-    pending.issuer = this->selectIssuer();
+    pending.issuer = this->currentIssuer;
     pending.sentAt = this->bootClock.now();
     const bool isCallerWaiting = bool(pending.onDecision);
     if (pending.issuer == this->self.process) {
@@ -101,7 +102,7 @@
 Wire::PermitReply PermitExchange::issue(std::span<const std::string> upstreamGenerations, bool isCallerWaiting)
 {
     this->issuer.setGatewayCount(this->handlers.gatewayCount());
-    if (this->selectIssuer() == this->self.process)
+    if (this->currentIssuer == this->self.process)
         this->issuer.recordSupport(this->self.process);
     else
         this->issuer.withdrawSupport(this->self.process);
@@ -117,7 +118,9 @@
             refusal = decision;
     }
     const RateLimit::PermitDecision decision = refusal.value_or(RateLimit::PermitDecision {});
-    return { 0, {}, Foundation::toMilliseconds(decision.untilRoom), Foundation::toMilliseconds(decision.retryAfter) };
+    // Rounded up, so that callers do not come back too early.
+    return { 0, {}, Foundation::toMilliseconds(decision.untilRoom) + 1,
+        Foundation::toMilliseconds(decision.retryAfter) + 1 };
 }
 
 void PermitExchange::decide(const PendingRequest& pending, const Wire::PermitReply& reply)
@@ -186,9 +189,7 @@
         this->issuer.withdrawSupport(process);
 }
 
-std::string PermitExchange::supportedIssuer() { return this->hasLimits() ? this->selectIssuer() : std::string(); }
-
-std::string PermitExchange::selectIssuer()
+void PermitExchange::selectIssuer()
 {
     const TimePoint now = this->bootClock.now();
     Membership::LoadRelayCandidate selected = this->self;
@@ -198,15 +199,16 @@
         if (!isSkipped && Membership::isPreferred(candidate, selected))
             selected = candidate;
     }
-    if (selected.process != this->lastIssuer) {
-        this->lastIssuer = selected.process;
-        logEvent(Event::PermitIssuerSelected, "", "issuer=" + selected.process);
-    }
-    return selected.process;
+    if (selected.process == this->currentIssuer)
+        return;
+    this->currentIssuer = selected.process;
+    logEvent(Event::PermitIssuerSelected, "", "issuer=" + this->currentIssuer);
 }
 
 void PermitExchange::tick()
 {
+    if (this->hasLimits())
+        this->selectIssuer();
     const TimePoint now = this->bootClock.now();
     std::vector<std::pair<PermitRequestId, PendingRequest>> unanswered;
     std::erase_if(this->pendingRequests, [&](auto& entry) {
@@ -217,6 +219,7 @@
     });
     for (auto& [id, pending] : unanswered) {
         this->skippedUntil[pending.issuer] = now + skipTime;
+        this->selectIssuer();
         logEvent(Event::PermitDecided, "", "issuer=" + pending.issuer + " reply=none");
         if (!pending.onDecision)
             continue;
@@ -232,11 +235,10 @@
 
 void PermitExchange::giveBack(const std::string& upstreamGeneration)
 {
-    const std::string receiver = this->selectIssuer();
-    if (receiver == this->self.process)
+    if (this->currentIssuer == this->self.process)
         this->issuer.giveBack(upstreamGeneration);
     else
-        this->handlers.send(receiver, Wire::PermitReturn { upstreamGeneration });
+        this->handlers.send(this->currentIssuer, Wire::PermitReturn { upstreamGeneration });
 }
 
 void PermitExchange::remove(std::string_view upstreamGeneration)
@@ -247,6 +249,7 @@
 
 void PermitExchange::onLimitChanged(std::string_view upstreamGeneration)
 {
+    this->selectIssuer();
     if (!this->isLimited(upstreamGeneration))
         this->issuer.remove(upstreamGeneration);
     const auto full = this->fullUntil.find(upstreamGeneration);
--- a/src/apps/gateway/permitexchange.h
+++ b/src/apps/gateway/permitexchange.h
@@ -83,7 +83,7 @@
     void recordSupport(const std::string& process, std::string_view issuer);
 
     /** Returns the issuer at which this process gets its permits; empty if no upstream has a limit. */
-    std::string supportedIssuer();
+    std::string supportedIssuer() const { return this->hasLimits() ? this->currentIssuer : std::string(); }
 
     /** Decides requests without a reply, and returns permits that were not used. */
     void tick();
@@ -112,7 +112,8 @@
     /** Decides on a request at this process. */
     Wire::PermitReply issue(std::span<const std::string> upstreamGenerations, bool isCallerWaiting);
     void decide(const PendingRequest& pending, const Wire::PermitReply& reply);
-    std::string selectIssuer();
+    /** Selects the issuer among the gateways that can be reached. */
+    void selectIssuer();
     void giveBack(const std::string& upstreamGeneration);
 
     const Foundation::Clock& clock;
@@ -128,7 +129,8 @@
     std::map<std::string, Foundation::TimePoint, std::less<>> fullUntil;
     /** Until when issuers that did not reply are left out. */
     std::map<std::string, Foundation::TimePoint> skippedUntil;
-    std::string lastIssuer;
+    /** The gateway at which this process gets its permits; may be this one. */
+    std::string currentIssuer;
 };
 
 } // namespace Gateway
--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -1094,7 +1094,8 @@
         = this->runs > 0 && entry.httpStatus == Foundation::resultCodeEntry(ResultCode::NoUpstream).httpStatus;
     const int status
         = needsFailureStatus ? Foundation::resultCodeEntry(ResultCode::UpstreamFailed).httpStatus : entry.httpStatus;
-    if (retryAfter)
+    // Callers who are refused for a limit are told different times anyway.
+    if (retryAfter && code != ResultCode::UpstreamLimited)
         retryAfter = jittered(*retryAfter);
     Web::HttpReply reply = PlatformAdapter::encodeLocalReply(status, this->request.id, retryAfter, entry.name);
     reply.closesConnection = this->context.isShuttingDown();
