--- a/tests/auto/gateway/tst_upstreamnotices.cpp
+++ b/tests/auto/gateway/tst_upstreamnotices.cpp
@@ -1,5 +1,7 @@
 #include "gatewayfixture.h"
 
+#include <algorithm>
+
 using namespace GatewayTests;
 
 // What upstreams say of themselves in their answers.
@@ -84,6 +86,27 @@
     CHECK_TRUE(retryAfter > 2 && retryAfter < 4.5);
 }
 
+TEST(UpstreamNoticesTest, failoversOfManyRequestsDoNotReachUpstreamsThatAskForAPause)
+{
+    this->startGateway("llm");
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::Reject;
+    this->upstreamOne.retryAfter = this->upstreamTwo.retryAfter = "3";
+    LONGS_EQUAL(503, this->call("/stream/x", "POST").result.status);
+    const auto toldAt = std::chrono::steady_clock::now();
+    std::vector<std::shared_ptr<Answer>> answers;
+    while (std::chrono::steady_clock::now() < toldAt + 2'500ms) {
+        for (const char* const path : { "/stream/x", "/lasting/x" }) {
+            answers.push_back(std::make_shared<Answer>());
+            this->send(path, answers.back(), "POST");
+        }
+        this->runFor(20ms);
+    }
+    CHECK_TRUE(this->runUntil([&] { return std::ranges::all_of(answers, &Answer::isFinished); }));
+    // The users allow two requests from half a second after the rejection to the end of the pause.
+    for (const StandinUpstream* const upstream : { &this->upstreamOne, &this->upstreamTwo })
+        CHECK_TRUE(std::ranges::count_if(upstream->arrivals, [toldAt](auto at) { return at >= toldAt + 500ms; }) <= 2);
+}
+
 TEST(UpstreamNoticesTest, promptsAreNotSentToEnginesThatAskForAPause)
 {
     this->startGateway("llm");
