--- a/src/apps/gateway/permitexchange.cpp
+++ b/src/apps/gateway/permitexchange.cpp
@@ -189,6 +189,12 @@
         this->issuer.withdrawSupport(process);
 }
 
+bool PermitExchange::isReachable(const std::string& process) const
+{
+    return std::ranges::any_of(this->handlers.reachableGateways(),
+        [&](const Membership::LoadRelayCandidate& candidate) { return candidate.process == process; });
+}
+
 void PermitExchange::selectIssuer()
 {
     const TimePoint now = this->bootClock.now();
@@ -212,13 +218,14 @@
     const TimePoint now = this->bootClock.now();
     std::vector<std::pair<PermitRequestId, PendingRequest>> unanswered;
     std::erase_if(this->pendingRequests, [&](auto& entry) {
-        if (now - entry.second.sentAt < replyTimeout)
+        if (now - entry.second.sentAt < replyTimeout && this->isReachable(entry.second.issuer))
             return false;
         unanswered.emplace_back(entry.first, std::move(entry.second));
         return true;
     });
     for (auto& [id, pending] : unanswered) {
-        this->skippedUntil[pending.issuer] = now + skipTime;
+        if (this->isReachable(pending.issuer))
+            this->skippedUntil[pending.issuer] = now + skipTime;
         this->selectIssuer();
         logEvent(Event::PermitDecided, "", "issuer=" + pending.issuer + " reply=none");
         if (!pending.onDecision)
--- a/src/apps/gateway/permitexchange.h
+++ b/src/apps/gateway/permitexchange.h
@@ -112,6 +112,7 @@
     /** Decides on a request at this process. */
     Wire::PermitReply issue(std::span<const std::string> upstreamGenerations, bool isCallerWaiting);
     void decide(const PendingRequest& pending, const Wire::PermitReply& reply);
+    bool isReachable(const std::string& process) const;
     /** Selects the issuer among the gateways that can be reached. */
     void selectIssuer();
     void giveBack(const std::string& upstreamGeneration);
