--- a/src/apps/gateway/dispatcher.cpp
+++ b/src/apps/gateway/dispatcher.cpp
@@ -186,17 +186,6 @@
         this->ledger.addRequest(std::move(request)), {} };
 }
 
-bool Dispatcher::trySendAgain(const Assignment& assignment, const std::string& service)
-{
-    const UpstreamCriteria anyUpstream { service, {}, {} };
-    const std::vector<const Upstream*> usable = this->usableUpstreams(anyUpstream);
-    const auto found = std::ranges::find(usable, assignment.upstreamGeneration, &Upstream::generationId);
-    if (found == usable.end() || !this->canReceive(**found, anyUpstream, this->clock.now()))
-        return false;
-    this->countRequest(assignment.upstreamGeneration);
-    return true;
-}
-
 Placement::QueuedPromptId Dispatcher::enqueue(PendingPrompt pending)
 {
     const auto queue = this->queues.find(pending.criteria.service);
--- a/src/apps/gateway/dispatcher.h
+++ b/src/apps/gateway/dispatcher.h
@@ -88,12 +88,6 @@
     /** Removes the cold-start state of an upstream generation that has ended. */
     void removeGeneration(std::string_view upstreamGeneration) { this->coldStartLimiter.remove(upstreamGeneration); }
 
-    /**
-     * Counts one more send of a request to the upstream that it was assigned to.
-     * @return false if the upstream does not take it now; nothing is counted then.
-     */
-    bool trySendAgain(const Assignment& assignment, const std::string& service);
-
     /** Returns the upstream for a request without a prompt; none if no upstream can accept it. */
     std::optional<Assignment> assignCall(const UpstreamCriteria& criteria);
 
--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -421,16 +421,14 @@
     call.unacknowledgedTimeout = unacknowledgedTimeout;
     call.maximumIdleAge = maximumIdleConnectionAge;
     call.answerId = PlatformAdapter::makeAnswerId(this->request.id);
-    call.resend = Platform::Resend::Never;
-    if (this->attempt->isSentAgain)
-        call.connectionUse = Platform::ConnectionUse::New;
-    if (!this->route->isRepeatable())
+    if (!this->route->isRepeatable()) {
+        call.resend = Platform::Resend::Never;
         call.connectionUse = Platform::ConnectionUse::Dedicated;
+    }
     // A second copy of the earlier rejection would name this request, too.
     if (this->rejectingGenerations.contains(assignment.upstreamGeneration))
         call.connectionUse = Platform::ConnectionUse::Dedicated;
     this->announceSuspect();
-    this->context.metrics.counter("bluebell_sends_total", {}).fetch_add(1);
     const std::shared_ptr<ProxiedRequest> self = this->shared_from_this();
     const std::uint64_t attemptNumber = this->currentAttemptNumber;
     this->attempt->call = this->context.transfers.stream(std::move(call),
@@ -449,32 +447,6 @@
             + " read_by=" + joinUpstreamNames(assignment.helpers) + " fingerprint=" + this->fingerprint);
 }
 
-bool ProxiedRequest::sendAttemptAgain()
-{
-    // The leases of helpers' memory are not kept for a second send.
-    if (!this->route->isRepeatable() || this->attempt->isSentAgain || this->attempt->memoryReservation != 0
-        || this->runs + 2 > this->route->maximumRuns || this->timeLeft() <= Duration::zero())
-        return false;
-    const TimePoint now = this->context.clock.now();
-    if (!this->trySpendRetry(now))
-        return false;
-    if (!this->context.dispatcher.trySendAgain(this->attempt->assignment, this->criteria.service)) {
-        this->giveUnsentRetryBack();
-        return false;
-    }
-    // The upstream may have crashed; whether it has is known when it answers or refuses the new connection.
-    this->recordCrash(Quarantine::CrashCertainty::Possible, "kept connection lost");
-    ++this->runs;
-    this->attempt->isSentAgain = true;
-    this->attempt->sentAt = this->attempt->lastDataAt = this->attempt->lastProgressAt = now;
-    this->context.metrics.countRetry(ResultCode::AnswerIncomplete);
-    logEvent(Event::RequestRetried, this->request.id,
-        "reason=the kept connection ended upstream=" + this->attempt->assignment.upstreamGeneration
-            + " runs=" + std::to_string(this->runs) + " sends=" + std::to_string(this->sends));
-    this->sendAttempt({});
-    return true;
-}
-
 void ProxiedRequest::onAnswerHead(
     std::uint64_t attemptNumber, const std::string& generation, TimePoint sentAt, Platform::HttpAnswerHead head)
 {
@@ -868,11 +840,7 @@
         return;
     }
     if (result.outcome == Platform::CallOutcome::NotConnected) {
-        // The upstream may have crashed when the kept connection ended.
-        if (this->attempt->isSentAgain)
-            this->recordCrash(Quarantine::CrashCertainty::Suspected, "broken");
-        else
-            this->withdrawAnnouncement(*this->attempt);
+        this->withdrawAnnouncement(*this->attempt);
         this->closeAttempt(unconnectedObservation);
         this->onAttemptFailed(RunOutcome::NotRun, ResultCode::UpstreamDown, false);
         return;
@@ -881,8 +849,6 @@
         this->onRejected();
         return;
     }
-    if (result.isKeptConnectionLost && this->sendAttemptAgain())
-        return;
     if (const std::string defect = findDefect(result, *this->attempt, this->events); !defect.empty()) {
         logEvent(Event::AttemptFinished, this->request.id,
             "upstream=" + this->attempt->assignment.upstreamGeneration + " error=" + defect
@@ -890,11 +856,9 @@
         // A stream that is resumed after its last event is empty, so an orderly end before another one is no crash.
         const bool mayBeWhole
             = isWhole && this->hasStreamBegun && this->attempt->isPrefilling && !this->events.isInsideEvent();
-        // Nor is the end of a kept connection, which may have been closed as idle.
-        const bool isNoCrash = mayBeWhole || result.isKeptConnectionLost;
         this->recordCrash(
-            isNoCrash ? Quarantine::CrashCertainty::Possible : Quarantine::CrashCertainty::Suspected, "broken");
-        this->closeAttempt(isNoCrash ? Observation::Failed : Observation::Broken);
+            mayBeWhole ? Quarantine::CrashCertainty::Possible : Quarantine::CrashCertainty::Suspected, "broken");
+        this->closeAttempt(mayBeWhole ? Observation::Failed : Observation::Broken);
         this->onAttemptFailed(RunOutcome::MayHaveRun, ResultCode::AnswerIncomplete, true);
         return;
     }
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -108,8 +108,6 @@
     bool isWatched = false;
     /** Whether it was logged why the attempt is kept although its upstream is silent. */
     bool isKeptLogged = false;
-    /** Whether it was sent again to the same upstream after the loss of a kept connection. */
-    bool isSentAgain = false;
     /** Whether a crash was recorded although the attempt is kept or parked. */
     bool isCrashRecorded = false;
     /** Since when the upstream has been doubtful or last proved that it runs; only if it is doubtful. */
@@ -168,12 +166,6 @@
     /** Returns whether the work of an attempt goes on, which uses the memory reserved for it. */
     bool usesReservedMemory(std::uint64_t attemptNumber) const;
     void sendAttempt(const std::vector<std::string>& leaseNames);
-    /**
-     * Sends the current attempt to the same upstream once more, on a new connection, after the kept one has ended. The
-     * upstream may have closed it as idle, or have run the request, so this counts as another run.
-     * @return false if the request may not be sent again, or the upstream does not take it now.
-     */
-    bool sendAttemptAgain();
     PlatformAdapter::ForwardingHeaders makeForwardingHeaders(const std::vector<std::string>& leaseNames) const;
 
     void onAnswerHead(std::uint64_t attemptNumber, const std::string& generation, Foundation::TimePoint sentAt,
--- a/src/libs/platform/httptransfers.cpp
+++ b/src/libs/platform/httptransfers.cpp
@@ -42,24 +42,22 @@
     std::unique_ptr<curl_slist, ListDeleter> headerList;
     asio::io_context* context = nullptr;
     HttpCallResult result;
+    std::size_t sentBodyBytes = 0;
     std::size_t headBytes = 0;
     /** Whether the line that ends the head of the final answer was received. */
     bool isHeadComplete = false;
     /** Why this process ended the call; empty if it did not. */
     std::string_view abortReason;
-    bool isCancelled = false;
     std::size_t undeliveredBytes = 0;
     bool isPaused = false;
     /** Whether libcurl holds a part of the body back until the call is continued. */
     bool isHeldBack = false;
     /** Delivers a part of the body to the handler. */
     std::function<void(std::string part)> deliver;
-    /** How often the call was sent, on the same or on different connections. */
-    int sends = 0;
-    /** How often it may be sent. */
-    int maximumSends = 1;
-    /** Whether it was first sent on a connection that was used before. */
-    bool wasSentOnKeptConnection = false;
+    /** Whether a connection was established on which libcurl began to send the call. */
+    bool wasSent = false;
+    /** Whether the call was sent again on a new connection. */
+    bool isResent = false;
 };
 
 std::string answerContentType(CURL* easy)
@@ -181,14 +179,9 @@
 
 int setSocketOptions(void* user, curl_socket_t socket, curlsocktype)
 {
-    const auto& transfer = *static_cast<Transfer*>(user);
-    // No connection is opened for a call that is not sent on it.
-    if (transfer.sends >= transfer.maximumSends)
-        return CURL_SOCKOPT_ERROR;
-    const unsigned timeoutMs = static_cast<unsigned>(transfer.call.unacknowledgedTimeout.count());
+    const unsigned timeoutMs = static_cast<unsigned>(static_cast<Transfer*>(user)->call.unacknowledgedTimeout.count());
     // A failure is ignored: the timeout of the call also detects a lost connection, only later.
-    if (timeoutMs > 0)
-        setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeoutMs, sizeof(timeoutMs));
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeoutMs, sizeof(timeoutMs));
     return CURL_SOCKOPT_OK;
 }
 
@@ -212,30 +205,20 @@
     return bytes;
 }
 
-// libcurl sends a call again by itself, on one kept connection after the other, when one ends before a whole line of
-// the answer. The call may have run, so it is sent again at most once, on a new connection, and only if its sender
-// allows it.
-int onBeforeSend(void* user, char*, char*, int, int)
+std::size_t provideBody(char* buffer, std::size_t size, std::size_t count, void* user)
 {
     auto& transfer = *static_cast<Transfer*>(user);
-    const bool isKept = isOnUsedConnection(transfer);
-    if (transfer.sends == 0)
-        transfer.wasSentOnKeptConnection = isKept;
-    else if (isKept || transfer.sends >= transfer.maximumSends)
-        return CURL_PREREQFUNC_ABORT;
-    ++transfer.sends;
-    return CURL_PREREQFUNC_OK;
+    const std::string_view rest = std::string_view(transfer.call.body).substr(transfer.sentBodyBytes);
+    const std::size_t bytes = std::min(rest.size(), size * count);
+    rest.copy(buffer, bytes);
+    transfer.sentBodyBytes += bytes;
+    return bytes;
 }
 
-// Returns whether the connection on which the call was first sent ended before the head of an answer.
-bool isKeptConnectionLost(CURLcode code, const Transfer& transfer)
+int onBeforeSend(void* user, char*, char*, int, int)
 {
-    // A timeout, or a call that its sender cancelled, says nothing about the connection.
-    const bool isSendAborted = code == CURLE_ABORTED_BY_CALLBACK && !transfer.isCancelled;
-    return transfer.wasSentOnKeptConnection && transfer.sends == 1 && transfer.headBytes == 0
-        && transfer.abortReason.empty()
-        && (isSendAborted || code == CURLE_SEND_ERROR || code == CURLE_RECV_ERROR || code == CURLE_GOT_NOTHING
-            || code == CURLE_COULDNT_CONNECT);
+    static_cast<Transfer*>(user)->wasSent = true;
+    return CURL_PREREQFUNC_OK;
 }
 
 // Returns why an answer that libcurl takes as complete is not; empty if it is complete.
@@ -251,7 +234,7 @@
     if (code == CURLE_OK)
         return findDefect(transfer).empty() ? CallOutcome::Complete : CallOutcome::Broken;
     // A reused connection may break after the call was sent on it, and libcurl's new connection may be refused.
-    if (transfer.sends > 0)
+    if (transfer.wasSent)
         return CallOutcome::Broken;
     switch (code) {
     case CURLE_COULDNT_CONNECT:
@@ -270,6 +253,18 @@
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
 }
 
+// libcurl sends a call again by itself when a reused connection breaks before the first byte of the answer. It cannot
+// do so after it has read a part of the body from a callback that does not rewind. A call without a body needs a
+// dedicated connection instead.
+void forbidResend(Transfer& transfer)
+{
+    CURL* const easy = transfer.easy.get();
+    curl_easy_setopt(easy, CURLOPT_READFUNCTION, &provideBody);
+    curl_easy_setopt(easy, CURLOPT_READDATA, &transfer);
+    if (transfer.call.body.empty())
+        useDedicatedConnection(easy);
+}
+
 void setBody(Transfer& transfer)
 {
     const HttpCall& call = transfer.call;
@@ -278,8 +273,11 @@
     if (hasBody) {
         curl_easy_setopt(easy, CURLOPT_POST, 1L);
         curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body.size()));
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
     }
+    if (call.resend == Resend::Never)
+        forbidResend(transfer);
+    else if (hasBody)
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
 }
 
 void setOptions(Transfer& transfer)
@@ -296,12 +294,12 @@
     curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, uploadBufferBytes);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeader);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
-    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &setSocketOptions);
-    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &transfer);
+    if (call.unacknowledgedTimeout.count() > 0) {
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &setSocketOptions);
+        curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &transfer);
+    }
     if (call.connectionUse == ConnectionUse::Dedicated)
         useDedicatedConnection(easy);
-    else if (call.connectionUse == ConnectionUse::New)
-        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &onBeforeSend);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
@@ -325,8 +323,6 @@
 {
     if (code == CURLE_OK)
         return std::string(findDefect(transfer));
-    if (isKeptConnectionLost(code, transfer))
-        return "the kept connection ended before the answer";
     return transfer.abortReason.empty() ? curl_easy_strerror(code) : std::string(transfer.abortReason);
 }
 
@@ -337,8 +333,7 @@
     transfer.result.contentType = answerContentType(transfer.easy.get());
     transfer.result.error = errorText(code, transfer);
     transfer.result.isRefused
-        = code == CURLE_COULDNT_CONNECT && transfer.sends == 0 && connectError(transfer.easy.get()) == ECONNREFUSED;
-    transfer.result.isKeptConnectionLost = isKeptConnectionLost(code, transfer);
+        = code == CURLE_COULDNT_CONNECT && !transfer.wasSent && connectError(transfer.easy.get()) == ECONNREFUSED;
     asio::post(
         *transfer.context, [onEnd = std::move(transfer.handlers.onEnd), result = std::move(transfer.result)]() mutable {
             onEnd(std::move(result));
@@ -398,8 +393,6 @@
         transfer->handlers = std::move(handlers);
         transfer->context = &this->context;
         transfer->id = ++this->lastId;
-        if (transfer->call.resend == Resend::Allowed)
-            ++transfer->maximumSends;
         transfer->easy = this->acquireHandle();
         if (transfer->handlers.onData)
             this->setDelivery(*transfer);
@@ -452,10 +445,8 @@
     void cancel(CallId id)
     {
         const auto found = this->active.find(id);
-        if (found == this->active.end())
-            return;
-        found->second->isCancelled = true;
-        this->finish(*found->second, CURLE_ABORTED_BY_CALLBACK);
+        if (found != this->active.end())
+            this->finish(*found->second, CURLE_ABORTED_BY_CALLBACK);
     }
 
     static int onSocket(CURL*, curl_socket_t socket, int what, void* user, void*)
@@ -547,16 +538,17 @@
         }
     }
 
-    // The connection may have been closed as idle, so the call is sent once more on a new one if it may be.
-    bool sendAgain(Transfer& transfer, CURLcode code)
+    // libcurl resends a call when it fails to receive on a reused connection that was closed as idle, but not when it
+    // fails to send a long body on it.
+    bool resendIfClosedAsIdle(Transfer& transfer, CURLcode code)
     {
         CURL* const easy = transfer.easy.get();
-        // The new connection that libcurl has tried may have been refused.
-        if (!isKeptConnectionLost(code, transfer) || code == CURLE_COULDNT_CONNECT
-            || transfer.sends >= transfer.maximumSends)
+        if (code != CURLE_SEND_ERROR || !isOnUsedConnection(transfer) || transfer.isResent || transfer.headBytes > 0
+            || transfer.call.resend == Resend::Never)
             return false;
         curl_off_t elapsedMicroseconds = 0;
         curl_easy_getinfo(easy, CURLINFO_TOTAL_TIME_T, &elapsedMicroseconds);
+        transfer.isResent = true;
         transfer.call.timeout -= std::chrono::microseconds(elapsedMicroseconds);
         curl_multi_remove_handle(this->multi, easy);
         transfer.easy.reset(curl_easy_init());
@@ -568,7 +560,7 @@
 
     void finish(Transfer& transfer, CURLcode code)
     {
-        if (this->sendAgain(transfer, code))
+        if (this->resendIfClosedAsIdle(transfer, code))
             return;
         deliverResult(transfer, code);
         curl_multi_remove_handle(this->multi, transfer.easy.get());
--- a/src/libs/platform/httptransfers.h
+++ b/src/libs/platform/httptransfers.h
@@ -15,7 +15,7 @@
 
 namespace Platform {
 
-/** Whether a call that was sent on a kept connection is sent once more if that connection ends before an answer. */
+/** Whether libcurl may send a call again when a reused connection breaks before the answer. */
 enum class Resend : std::uint8_t {
     Allowed,
     Never,
@@ -26,8 +26,6 @@
     Pooled,
     /** The call opens and closes a connection of its own, so that no fault of a reused one can affect it. */
     Dedicated,
-    /** The call opens a connection, which later calls may use. */
-    New,
 };
 
 struct HttpField {
@@ -100,11 +98,6 @@
     std::string error;
     /** Whether no connection was established because the address refused it, and not for want of an answer. */
     bool isRefused = false;
-    /**
-     * Whether the call was sent on a kept connection that ended before the head of an answer. The server may have
-     * closed it as idle, or have run the call.
-     */
-    bool isKeptConnectionLost = false;
 
     /** Returns whether a complete answer with a status of 200 to 299 arrived. */
     bool isSuccess() const
--- a/tests/standins/connectionfaultupstream.cpp
+++ b/tests/standins/repeatingupstream.cpp
@@ -1,46 +1,40 @@
-#include "connectionfaultupstream.h"
+#include "repeatingupstream.h"
 
 #include "standinanswer.h"
 
-#include <asio/buffer.hpp>
 #include <asio/read.hpp>
 #include <asio/read_until.hpp>
-#include <asio/steady_timer.hpp>
 #include <asio/streambuf.hpp>
 #include <asio/write.hpp>
 
 #include <istream>
 #include <utility>
 
-struct ConnectionFaultUpstream::Connection {
+struct RepeatingUpstream::Connection {
     explicit Connection(asio::ip::tcp::socket accepted)
         : socket(std::move(accepted))
-        , timer(this->socket.get_executor())
-        , idleTimer(this->socket.get_executor())
     {
     }
 
     asio::ip::tcp::socket socket;
-    asio::steady_timer timer;
-    asio::steady_timer idleTimer;
     asio::streambuf received;
     std::string lastAnswer;
     std::string unsent;
 };
 
-ConnectionFaultUpstream::ConnectionFaultUpstream(asio::io_context& context, std::string id)
+RepeatingUpstream::RepeatingUpstream(asio::io_context& context, std::string id)
     : id(std::move(id))
     , acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 })
 {
     this->accept();
 }
 
-std::string ConnectionFaultUpstream::entry(const std::string& service) const
+std::string RepeatingUpstream::entry(const std::string& service) const
 {
     return makeUpstreamEntry({ service, this->acceptor.local_endpoint().port() });
 }
 
-void ConnectionFaultUpstream::accept()
+void RepeatingUpstream::accept()
 {
     this->acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket accepted) {
         if (error)
@@ -50,12 +44,10 @@
     });
 }
 
-void ConnectionFaultUpstream::readRequest(const std::shared_ptr<Connection>& connection)
+void RepeatingUpstream::readRequest(const std::shared_ptr<Connection>& connection)
 {
-    this->watchIdle(connection);
     asio::async_read_until(connection->socket, connection->received, "\r\n\r\n",
         [this, connection](const asio::error_code& error, std::size_t) {
-            connection->idleTimer.cancel();
             if (error)
                 return;
             std::istream stream(&connection->received);
@@ -73,50 +65,11 @@
         });
 }
 
-void ConnectionFaultUpstream::answer(const std::shared_ptr<Connection>& connection, const RawRequest& request)
+void RepeatingUpstream::answer(const std::shared_ptr<Connection>& connection, const RawRequest& request)
 {
-    this->requestIds.push_back(request.header("X-Attempt-Id"));
-    if (this->ending) {
-        ++this->runs;
-        connection->timer.expires_after(this->ending->delay);
-        connection->timer.async_wait([connection, chosen = *this->ending](const asio::error_code& error) {
-            if (!error)
-                end(connection, chosen);
-        });
-        return;
-    }
     const std::string answer = this->makeAnswer(request);
     connection->unsent = (this->repeatsAnswers ? connection->lastAnswer : std::string()) + answer;
     connection->lastAnswer = answer;
-    connection->timer.expires_after(this->answerDelay);
-    connection->timer.async_wait([this, connection](const asio::error_code& error) {
-        if (!error)
-            this->write(connection);
-    });
-}
-
-void ConnectionFaultUpstream::end(const std::shared_ptr<Connection>& connection, const ConnectionEnding& ending)
-{
-    asio::error_code ignored;
-    asio::write(connection->socket, asio::buffer(ending.written), ignored);
-    if (ending.isReset)
-        connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
-    connection->socket.close(ignored);
-}
-
-void ConnectionFaultUpstream::watchIdle(const std::shared_ptr<Connection>& connection)
-{
-    if (this->idleTime.count() == 0)
-        return;
-    connection->idleTimer.expires_after(this->idleTime);
-    connection->idleTimer.async_wait([connection](const asio::error_code& error) {
-        if (!error)
-            end(connection, {});
-    });
-}
-
-void ConnectionFaultUpstream::write(const std::shared_ptr<Connection>& connection)
-{
     asio::async_write(connection->socket, asio::buffer(connection->unsent),
         [this, connection](const asio::error_code& error, std::size_t) {
             if (!error)
@@ -124,16 +77,14 @@
         });
 }
 
-std::string ConnectionFaultUpstream::makeAnswer(const RawRequest& request)
+std::string RepeatingUpstream::makeAnswer(const RawRequest& request)
 {
     const std::string helpers = request.header("X-Helpers");
     const bool isBlamed = this->blamesHelpers && !helpers.empty();
     const std::string requestId = "X-Attempt-Id: " + request.header("X-Attempt-Id") + "\r\n";
     if (this->rejects || isBlamed) {
         const std::string blame = "At-Server: " + helpers.substr(0, helpers.find(',')) + "\r\n";
-        const std::string pause
-            = this->retryAfter.empty() ? std::string() : "Retry-After: " + this->retryAfter + "\r\n";
-        return "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n" + pause + (isBlamed ? blame : std::string())
+        return "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n" + (isBlamed ? blame : std::string())
             + (this->namesRejectedRequest ? requestId : std::string()) + "Content-Length: 0\r\n\r\n";
     }
     ++this->runs;
