--- a/review/tools/fleet.h
+++ b/review/tools/fleet.h
@@ -86,6 +86,11 @@
         + request.header("x-attempt-id") + "\r\n";
 }
 
+inline std::int64_t unixMilliseconds()
+{
+    return std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
 /** A worker that registers itself in the store and answers requests. */
 class Worker {
 public:
@@ -108,7 +113,7 @@
     {
         std::thread([this] {
             while (true) {
-                if (this->isWriting)
+                if (this->isWriting && !this->isDown)
                     this->writeEntry();
                 sleepFor(heartbeatInterval);
             }
@@ -120,10 +125,25 @@
         const nlohmann::json entry { { "service", this->service },
             { "address", "127.0.0.1:" + std::to_string(this->port) }, { "zone", this->zone }, { "version", "v1" },
             { "slots", this->slots }, { "state", "ready" }, { "cold_left_ms", 0 }, { "stage", "combined" },
-            { "sequence", 1 }, { "born", this->born } };
+            { "sequence", 1 }, { "born", this->born.load() } };
         this->store.put("keyed.servers", this->id, entry.dump());
     }
 
+    /** Ends the worker, which starts again under its id after a time. Returns at once. */
+    void crashFor(Milliseconds time)
+    {
+        if (this->isDown.exchange(true))
+            return;
+        this->server.crash();
+        std::thread([this, time] {
+            sleepFor(time);
+            this->born = unixMilliseconds();
+            this->server.listen();
+            this->isDown = false;
+            this->writeEntry();
+        }).detach();
+    }
+
     std::string address() const { return "127.0.0.1:" + std::to_string(this->port); }
 
     const std::string id;
@@ -142,7 +162,7 @@
             return connection.write(makeReply(421, "X-Instance-Id: " + this->id + "\r\n", ""));
         if (request.path() == "/report") {
             const nlohmann::json report { { "stage", "combined" }, { "busy", false }, { "sequence", 0 },
-                { "waiting", 0 }, { "running", 0 }, { "born", this->born } };
+                { "waiting", 0 }, { "running", 0 }, { "born", this->born.load() } };
             return connection.write(makeReply(200, "Content-Type: application/json\r\n", report.dump()));
         }
         if (request.path() == "/healthz")
@@ -160,8 +180,8 @@
     const std::string service;
     const std::string zone;
     const int slots;
-    const std::int64_t born
-        = std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    std::atomic<bool> isDown { false };
+    std::atomic<std::int64_t> born { unixMilliseconds() };
     const std::uint16_t port = findFreePort();
     Server server;
 };
--- a/review/tools/http.h
+++ b/review/tools/http.h
@@ -17,8 +17,10 @@
 #include <cstring>
 #include <functional>
 #include <map>
+#include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -279,38 +281,71 @@
     using Handler = std::function<bool(Connection&, const Message&)>;
 
     Server(std::uint16_t port, Handler handler)
-        : listener(listenOn(port))
+        : port(port)
         , handler(std::move(handler))
     {
-        if (this->listener < 0)
-            throw std::runtime_error("cannot listen on port " + std::to_string(port));
-        std::thread([this] { this->acceptAll(); }).detach();
+        this->listen();
+    }
+
+    void listen()
+    {
+        const int descriptor = listenOn(this->port);
+        if (descriptor < 0)
+            throw std::runtime_error("cannot listen on port " + std::to_string(this->port));
+        const std::lock_guard lock(this->mutex);
+        this->listener = descriptor;
+        std::thread([this, descriptor] { this->acceptAll(descriptor); }).detach();
+    }
+
+    /** Ends all connections and refuses new ones until listen(), as when the process of the server ends. */
+    void crash()
+    {
+        const std::lock_guard lock(this->mutex);
+        ::shutdown(this->listener, SHUT_RDWR);
+        ::close(this->listener);
+        this->listener = -1;
+        for (const int descriptor : this->open)
+            ::shutdown(descriptor, SHUT_RDWR);
     }
 
 private:
-    void acceptAll()
+    void acceptAll(int listening)
     {
         while (true) {
-            const int descriptor = ::accept4(this->listener, nullptr, nullptr, SOCK_CLOEXEC);
-            if (descriptor < 0) {
-                std::this_thread::sleep_for(Milliseconds(10));
-                continue;
+            const int descriptor = ::accept4(listening, nullptr, nullptr, SOCK_CLOEXEC);
+            const std::lock_guard lock(this->mutex);
+            if (this->listener != listening) {
+                if (descriptor >= 0)
+                    ::close(descriptor);
+                return;
             }
+            if (descriptor < 0)
+                continue;
             const int on = 1;
             ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-            std::thread([this, descriptor] {
-                Connection connection(descriptor);
-                while (const auto request = connection.readMessage(Clock::now() + std::chrono::minutes(5))) {
-                    ++connection.requestCount;
-                    if (!this->handler(connection, *request) || !connection.isOpen())
-                        break;
-                }
-            }).detach();
+            this->open.insert(descriptor);
+            std::thread([this, descriptor] { this->serve(descriptor); }).detach();
+        }
+    }
+
+    void serve(int descriptor)
+    {
+        Connection connection(descriptor);
+        while (const auto request = connection.readMessage(Clock::now() + std::chrono::minutes(5))) {
+            ++connection.requestCount;
+            if (!this->handler(connection, *request) || !connection.isOpen())
+                break;
         }
+        const std::lock_guard lock(this->mutex);
+        this->open.erase(descriptor);
+        connection.close();
     }
 
-    int listener;
+    const std::uint16_t port;
     Handler handler;
+    std::mutex mutex;
+    int listener = -1;
+    std::set<int> open;
 };
 
 inline std::string makeReply(int status, const std::string& extraHeaders, const std::string& body)
