Divide the proxied request into files of their own

Change: PlacementWait (permit and queue), CrashEvidence, SilenceLimits, Attempt and ProxyContext have files of their own. The members of ProxiedRequest are divided by what they handle: arrival, failover and end (proxiedrequest.cpp), one attempt and its sending (proxiedattempt.cpp), parked attempts and silence (proxiedsilence.cpp), the answer (proxiedanswer.cpp). No change of behaviour.

--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -1,26 +1,20 @@
 #pragma once
 
-#include "dispatcher.h"
-#include "memoryleasemanager.h"
-#include "partcrashexchange.h"
-#include "storesynchronizer.h"
+#include "attempt.h"
+#include "crashevidence.h"
+#include "placementwait.h"
+#include "proxycontext.h"
+#include "silencelimits.h"
 
 #include <foundation/clock.h>
-#include <foundation/metrics.h>
 #include <platform/httptransfers.h>
-#include <quarantine/silencewatch.h>
-#include <quarantine/suspectregistry.h>
-#include <relay/answermemory.h>
 #include <relay/eventsplitter.h>
 #include <relay/failoveraction.h>
-#include <relay/localretrybudget.h>
 #include <relay/silencedecision.h>
-#include <relay/upstreamhealth.h>
 #include <web/httpserver.h>
 
 #include "platform/messageheaders.h"
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -30,103 +24,6 @@
 
 namespace Gateway {
 
-class ProxiedRequest;
-
-/** Services and callbacks that all proxied requests of a gateway share. */
-struct ProxyContext {
-    const Foundation::Clock& clock;
-    Foundation::MetricRegistry& metrics;
-    Platform::HttpTransfers& transfers;
-    StoreSynchronizer& storeSynchronizer;
-    Dispatcher& dispatcher;
-    Placement::LoadLedger& ledger;
-    Relay::LocalRetryBudget& retryBudget;
-    Relay::UpstreamHealth& health;
-    Quarantine::SuspectRegistry& suspects;
-    Quarantine::SilenceWatch& silenceWatch;
-    Quarantine::PromptPartRegistry& promptParts;
-    PartCrashExchange& partCrashes;
-    Relay::AnswerMemory& answerMemory;
-    MemoryLeaseManager<PlatformAdapter::EngineOrders>& memoryLeases;
-    PermitExchange& permits;
-    /** Called with what an answer to a request says of the limit of its upstream; none if it names none. */
-    std::function<void(
-        const std::string& generation, std::optional<double> requestsPerSecond, Foundation::TimePoint sentAt)>
-        onLimitInAnswer;
-    /** Called after a change of the ledger or of the health of upstreams; added load is published at once. */
-    std::function<void(bool isAdded)> onLoadChanged;
-    /** Called with new or more certain crash notices, to be sent to the other gateways and stored. */
-    std::function<void(const std::vector<Quarantine::CrashNotice>&)> onSuspects;
-    /** Called with the generation of an upstream that has broken or refused a connection. */
-    std::function<void(const std::string& generation)> onUpstreamDown;
-    /** Called with a possible crash that was announced and whose attempt has not run. */
-    std::function<void(const Quarantine::CrashNotice&)> onSuspectWithdrawn;
-    /** Called with the generation of an upstream that was silent and has gone on. */
-    std::function<void(const std::string& generation)> onSilenceEnded;
-    /** Called when the connection of a watched attempt has broken. */
-    std::function<void(const Quarantine::WatchedAttempt&)> onSilentCrash;
-    /** Called with the fingerprint of a request that has run to its end although crashes were recorded against it. */
-    std::function<void(const std::string& fingerprint)> onExonerated;
-    /** Called when an upstream is ejected and the other gateways should eject it too. */
-    std::function<void(const Wire::UpstreamFailureNotice&)> onUpstreamEjected;
-    /** Called when a request has ended. */
-    std::function<void(const ProxiedRequest&)> onEnded;
-    /** Returns whether the process is shutting down, so that callers must use another one from now on. */
-    std::function<bool()> isShuttingDown;
-    /** Returns whether the process stops so soon that a new request might not complete before. */
-    std::function<bool()> isShutdownImminent;
-};
-
-/** One dispatch of a request to one upstream. */
-struct Attempt {
-    Assignment assignment;
-    Platform::CallId call = 0;
-    /** Memory reserved at prefill helpers; 0 if there is none. */
-    MemoryReservationId memoryReservation = 0;
-    Foundation::TimePoint sentAt {};
-    Foundation::TimePoint lastDataAt {};
-    /** When it was sent, or its answer last progressed: by its head, or by a complete event if it is a stream. */
-    Foundation::TimePoint lastProgressAt {};
-    /** Silence does not cause a failover sooner, since the last one has failed. */
-    Foundation::TimePoint failoverNotBefore {};
-    /** Whether no event of the answer has arrived yet. */
-    bool isPrefilling = true;
-    std::optional<Platform::HttpAnswerHead> head;
-    /** The decoded headers of the answer. */
-    PlatformAdapter::AnswerHeaders headers;
-    /** Whether the answer is an event stream that is forwarded as it arrives. */
-    bool isStream = false;
-    /** The body received so far, if the answer is not a stream. */
-    std::string body;
-    /** What the answer holds: its body, or the bytes of a stream that the caller has not received yet. */
-    std::shared_ptr<Relay::AnswerMemory::Share> memory;
-    /** Whether no more of a stream is read until its caller has received what was sent. */
-    bool isPaused = false;
-    /** The size of the body of a rejection, which is not forwarded. */
-    std::size_t rejectionBytes = 0;
-    /** Whether the call stays open after the attempt, to see whether the silent upstream goes on. */
-    bool isWatched = false;
-    /** Whether it was logged why the attempt is kept although its upstream is silent. */
-    bool isKeptLogged = false;
-    /** Whether a crash was recorded although the attempt is kept or parked. */
-    bool isCrashRecorded = false;
-    /** Since when the upstream has been doubtful or last proved that it runs; only if it is doubtful. */
-    std::optional<Foundation::TimePoint> doubtfulSince;
-    /** When the doubtful upstream is asked again whether it runs; none while it is being asked. */
-    std::optional<Foundation::TimePoint> nextStatusCheckAt = Foundation::TimePoint {};
-
-    /** Returns whether the upstream has stated that it does not run the request. */
-    bool isRejected() const { return this->headers.isNotExecuted; }
-};
-
-/** An attempt that may go on while another one is the current one; most have a silent upstream. */
-struct ParkedAttempt {
-    std::uint64_t number = 0;
-    Attempt attempt;
-    /** The state of its stream. */
-    Relay::EventSplitter events;
-};
-
 /**
  * Proxies one request: resolves its route and client account, dispatches it to an upstream and forwards the answer.
  * Fails over to another upstream if an attempt fails and the request may be sent again.
@@ -152,13 +49,11 @@
     bool refuseIfPartQuarantined();
     /** Sends the request to an upstream, once one takes it. */
     void dispatch();
-    /** Asks for a permit for one of several upstreams, without which none takes the request. */
-    void requestPermit(const std::vector<std::string>& upstreamGenerations);
-    void onPermitDecided(std::optional<Foundation::Duration> retryAfter);
-    /** Sends the request to an upstream that takes it now, or queues it if it is a prompt. */
-    void assign();
-    void enqueuePrompt();
+    void createPlacementWait();
+    /** Returns the request as it is queued now. */
     PendingPrompt makePendingPrompt() const;
+    /** The limits of the route; the request must have one. */
+    SilenceLimits silenceLimits() const { return { this->context, *this->route }; }
     /** Returns the prompt as it would be queued if the current attempt ended now. */
     PendingPrompt makeNextPrompt() const;
     void beginAttempt(const Assignment& assignment);
@@ -245,8 +140,6 @@
     Foundation::Duration timeLeft() const;
     /** Spends a unit of the retry budget for the next send. Returns false if the budget is exhausted. */
     bool trySpendRetry(Foundation::TimePoint now);
-    /** Gives up waiting for a permit. */
-    void withdrawPermitRequest();
     /** Gives the unit back that was spent for a send that has not taken place. */
     void giveUnsentRetryBack();
     /** Logs, once for each wait, what the request waits for if its caller has waited for longer than the target. */
@@ -262,40 +155,10 @@
     void updateDoubt(Foundation::TimePoint now);
     /** Asks the doubtful upstream of the current attempt whether it runs. */
     void checkUpstreamStatus();
-    /** Returns what is known about the silence of an attempt. @param failover how the request goes on after it. */
-    Relay::SilentAttempt describeSilence(
-        const Attempt& silent, Foundation::TimePoint now, Relay::FailoverAction failover) const;
     /** Keeps the call of an attempt open after it, to see whether its upstream goes on. */
     void watchSilentAttempt(Attempt& silent, std::uint64_t number);
-    /** Returns whether the upstream of an attempt is no longer listed or refuses connections. */
-    bool isUpstreamDoubtful(const Attempt& silent) const;
-    /** Returns whether the upstream of the current attempt has been silent for longer than it is expected to be. */
-    bool isUpstreamSilent(Foundation::TimePoint now) const;
-    /** Returns whether the upstream of an attempt has been silent for longer than if it were as fast as expected. */
-    bool isLate(const Attempt& silent) const;
-    /** Returns from when on the silence of an attempt counts as a crash of its upstream. */
-    Foundation::TimePoint crashSuspectedFrom(const Attempt& silent) const;
-    /** Returns after which silence the work of an attempt does not explain it any more. */
-    Foundation::Duration crashSilence(const Attempt& silent) const;
-    /** Returns how long a listed upstream may stay silent. */
-    Foundation::Duration inactivityTimeout(const Attempt& silent) const;
-    /** Returns how long an upstream stays silent at most if it is as fast as expected. */
-    Foundation::Duration expectedSilence(const Attempt& silent) const;
     /** Records an attempt that may have run and is given up without an answer. */
     void recordUnansweredAttempt(std::string_view ending);
-    /** Records that the request was or may have been running when the upstream of the current attempt crashed. */
-    void recordCrash(Quarantine::CrashCertainty certainty, std::string_view ending);
-    void recordCrash(const Attempt& crashed, Quarantine::CrashCertainty certainty, std::string_view ending);
-    /** Records that the prompt parts of the request were or may have been running at a crash. */
-    void recordPartCrash(const Attempt& crashed, const std::string& crash, Quarantine::CrashCertainty certainty);
-    /** Tells the other gateways that a suspect is about to run, in case this process ends before the attempt does. */
-    void announceSuspect();
-    /** Takes the announcement back after the attempt turned out not to have run. */
-    void withdrawAnnouncement(const Attempt& notRun);
-    /** Returns the name under which a crash at the current attempt is recorded; none if it was caused before. */
-    std::optional<std::string> crashName(const Attempt& crashed) const;
-    /** Removes what is recorded against the request after it has run to its end. */
-    void exonerate();
     void recordHelperFailure(const std::string& address);
 
     ProxyContext& context;
@@ -306,20 +169,15 @@
     const Policy::Route* route = nullptr;
     const Policy::Account* account = nullptr;
     UpstreamCriteria criteria;
-    /** Identifies the request for the crash quarantine: a hash of its target, its client account and its body. */
-    std::string fingerprint;
+    CrashEvidence crashEvidence;
     Foundation::TimePoint arrivedAt {};
     Foundation::TimePoint deadline {};
     /** When the caller last received a part of the answer; the arrival of the request before the first one. */
     Foundation::TimePoint lastDeliveredAt {};
     /** Whether the wait since lastDeliveredAt was logged as longer than the target. */
     bool isWaitLogged = false;
-    /** 0 while the request is not queued. */
-    Placement::QueuedPromptId queuedPromptId = 0;
-    /** 0 while the request waits for no permit. */
-    PermitRequestId permitRequestId = 0;
-    /** When a stream that has begun asks for a permit again; none if it does not wait for that. */
-    std::optional<Foundation::TimePoint> nextPermitRequestAt;
+    /** None before the request is dispatched. */
+    std::shared_ptr<PlacementWait> placementWait;
     std::optional<Attempt> attempt;
     std::vector<ParkedAttempt> parkedAttempts;
     /** Identifies the current attempt, so that callbacks of earlier ones are ignored. */
