Choose engines for short prompts by stale load in a crowd

When many callers arrive at all gateways within a second, each gateway chooses by a load that the decisions of the others have made stale, and all fill the same first engines. ArrivalEstimator follows the dispatches of this gateway and those that load updates show, with a time constant of 0.3 s, and expects what is not reported yet. placePrompt() fills that expectation, and a margin of one request for each engine, onto the least loaded engines and draws the engine with the shares of the filling.

Calm fleets decide as before.

--- a/src/libs/placement/loadledger.cpp
+++ b/src/libs/placement/loadledger.cpp
@@ -24,6 +24,15 @@
         usages.erase(change.upstream);
 }
 
+// Returns how many streams a change adds. Streams that ended in the same time hide those that were added.
+double addedStreams(const UpstreamUsage& change)
+{
+    std::int64_t count = 0;
+    for (const auto& [eventGapTargetMs, group] : change.streamsByGapMs)
+        count += std::max<std::int64_t>(0, group.count);
+    return static_cast<double>(count);
+}
+
 } // namespace
 
 LoadLedger::LoadLedger(const Foundation::Clock& clock)
@@ -62,9 +71,12 @@
     this->inFlight.erase(found);
 }
 
-void LoadLedger::setPeerUsage(std::string_view peer, std::span<const UpstreamUsage> usages, bool isComplete)
+DispatchedWork LoadLedger::setPeerUsage(std::string_view peer, std::span<const UpstreamUsage> usages, bool isComplete)
 {
-    UsageByUpstream& peerUsage = this->usageByPeer[std::string(peer)];
+    const auto known = this->usageByPeer.find(peer);
+    const bool isFirst = known == this->usageByPeer.end();
+    UsageByUpstream& peerUsage = isFirst ? this->usageByPeer[std::string(peer)] : known->second;
+    DispatchedWork dispatched;
     std::set<std::string, std::less<>> listed;
     const auto replace = [&](const UpstreamUsage& usage) {
         // Applies only the change: prefill work in progress must not count as if it had just started.
@@ -72,6 +84,8 @@
         const auto previous = peerUsage.find(usage.upstream);
         if (previous != peerUsage.end())
             change.subtract(previous->second);
+        dispatched.requests += addedStreams(change);
+        dispatched.prefillSeconds += static_cast<double>(std::max<std::int64_t>(0, change.prefillUs)) / 1e6;
         this->applyTotal(change, 1);
         if (usage.isEmpty())
             peerUsage.erase(usage.upstream);
@@ -83,7 +97,7 @@
         replace(usage);
     }
     if (!isComplete)
-        return;
+        return dispatched;
     std::vector<std::string> removed;
     for (const auto& [upstream, usage] : peerUsage) {
         if (!listed.contains(upstream))
@@ -91,6 +105,7 @@
     }
     for (const std::string& upstream : removed)
         replace({ upstream, 0, 0, 0, {}, 0 });
+    return isFirst ? DispatchedWork {} : dispatched;
 }
 
 void LoadLedger::dropPeer(std::string_view peer)
--- a/src/libs/placement/loadledger.h
+++ b/src/libs/placement/loadledger.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "arrivalestimator.h"
 #include "upstreamusage.h"
 
 #include <foundation/clock.h>
@@ -61,8 +62,10 @@
      * Applies a load update of another process.
      * @param usages its usage of the upstreams that the update lists; an empty usage removes the upstream.
      * @param isComplete whether the process uses no other upstreams.
+     * @return the prompts that the update shows as newly dispatched; none in the first complete update of a process,
+     * which also lists what it dispatched long ago.
      */
-    void setPeerUsage(std::string_view peer, std::span<const UpstreamUsage> usages, bool isComplete);
+    DispatchedWork setPeerUsage(std::string_view peer, std::span<const UpstreamUsage> usages, bool isComplete);
 
     /** Removes the usage of another process. */
     void dropPeer(std::string_view peer);
--- a/src/libs/placement/placementplanner.cpp
+++ b/src/libs/placement/placementplanner.cpp
@@ -1,5 +1,7 @@
 #include "placementplanner.h"
 
+#include "staleloadchoice.h"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -72,6 +74,14 @@
 // short ones. The cost is a multiple of the weight.
 constexpr std::size_t reservedEngineInterval = 8;
 constexpr double reservedEngineCost = 2;
+// Short prompts are placed as in a crowd from this number of unreported requests for each open engine on. Calm fleets
+// expect about 0.2: 95 prompts per second are unreported for 50 ms and 22 engines are open.
+constexpr double crowdRequestsPerEngine = 1.0 / 3;
+// The fraction of their time that open engines spend on the prefill of short prompts in a crowd. A prompt then waits
+// for a fifth of a prefill on average, if the arrivals at an engine are random.
+constexpr double crowdPrefillFraction = 0.3;
+// Short prompts in a crowd use an engine with streams of long prompts when those without hold this many requests more.
+constexpr double longStreamsLevel = 4;
 // The numbers of engines that may prefill one prompt; the engine protocol allows at most 16 helpers.
 constexpr auto partCounts = std::to_array<std::size_t>({ 1, 2, 3, 4, 6, 8, 10, 12, 14, 16, 17 });
 
@@ -101,6 +111,8 @@
 
     std::optional<PromptPlacement> findBest()
     {
+        if (this->isInCrowd())
+            return this->placeInCrowd();
         std::optional<PromptPlacement> chosen;
         double lowest = 0;
         for (const std::size_t parts : partCounts) {
@@ -143,6 +155,98 @@
         return this->usableMemory - this->candidates[index].usage->reservedTokens;
     }
 
+    // Returns whether the known load is too far out of date to choose a short prompt's engine by it alone.
+    bool isInCrowd() const
+    {
+        if (!this->demand.crowd || !this->hasShortPrompt || this->memoryEngineCount > 1)
+            return false;
+        const double unreported = this->demand.crowd->arrivals.unreported.requests;
+        return !this->demand.isPeerLoadAvailable
+            || unreported >= crowdRequestsPerEngine * static_cast<double>(this->openEngineCount);
+    }
+
+    // The engines that short prompts may use in a crowd, from the preferred ones to all.
+    enum class CrowdScope { OpenEngines, AllButReserved, LastSlots, AllEngines };
+
+    // Returns how many engines short prompts use in a crowd: enough for their streams, those not reported included, and
+    // for the prefill work that arrives.
+    std::size_t countCrowdEngines(double partMs) const
+    {
+        const ArrivalEstimate& arrivals = this->demand.crowd->arrivals;
+        const double streamsPerEngine
+            = std::max(1.0, plannedFillFraction * packedSlotFraction * this->candidates.front().slots);
+        const double forUnreported = std::ceil(arrivals.unreported.requests / streamsPerEngine);
+        const double forPrefill = std::ceil(arrivals.perSecond.requests * partMs / 1e3 / crowdPrefillFraction) + 1;
+        return std::max(
+            this->openEngineCount + static_cast<std::size_t>(forUnreported), static_cast<std::size_t>(forPrefill));
+    }
+
+    bool isReserved(std::size_t index) const
+    {
+        return index >= this->candidates.size() - this->candidates.size() / reservedEngineInterval;
+    }
+
+    // Returns how many more short prompts an engine may be given.
+    double crowdRoom(std::size_t index, double partMs, CrowdScope scope, std::size_t openEngines) const
+    {
+        if (!this->isEligibleRunner(index) || (scope != CrowdScope::AllEngines && this->isReserved(index)))
+            return 0;
+        const EngineCandidate& candidate = this->candidates[index];
+        const auto requests = static_cast<double>(candidate.usage->requests);
+        if (scope == CrowdScope::LastSlots || scope == CrowdScope::AllEngines)
+            return candidate.slots - requests;
+        if ((scope == CrowdScope::OpenEngines && index >= openEngines) || this->streamDelayCostAt(index, partMs) > 0)
+            return 0;
+        const double leftMs = toMs(this->demand.timeToFirstEventTarget) - this->backlogsMs[index]
+            - (this->cycleTimesMs[index] + partMs) * candidate.slowdownFactor - this->cycleTimesMs[index];
+        return std::clamp(packedSlotFraction * candidate.slots - requests, 0.0, std::max(0.0, leftMs / partMs + 1));
+    }
+
+    // Returns the requests on an engine, and the delay that it adds, in prefill times of this prompt.
+    double crowdLevel(std::size_t index, double partMs) const
+    {
+        const EngineCandidate& candidate = this->candidates[index];
+        std::int64_t longStreams = 0;
+        for (const auto& [eventGapTargetMs, group] : candidate.usage->streamsByGapMs)
+            longStreams += eventGapTargetMs > Foundation::toMilliseconds(this->demand.eventGapTarget) ? group.count : 0;
+        const double slowMs = (candidate.slowdownFactor - 1) * (partMs + this->cycleTimesMs[index]);
+        return static_cast<double>(candidate.usage->requests) + (this->backlogsMs[index] + slowMs) / partMs
+            + (longStreams > 0 ? longStreamsLevel : 0);
+    }
+
+    // Places a short prompt by the load that is known and by what the other gateways are expected to have dispatched.
+    std::optional<PromptPlacement> placeInCrowd() const
+    {
+        const double partMs = toMs(this->model.prefillTime(this->demand.promptTokens));
+        const CrowdExpectation& crowd = *this->demand.crowd;
+        const std::size_t openEngines = this->countCrowdEngines(partMs);
+        std::vector<EngineLevel> levels(this->candidates.size());
+        for (std::size_t i = 0; i < levels.size(); ++i)
+            levels[i].level = this->crowdLevel(i, partMs);
+        for (const CrowdScope scope :
+            { CrowdScope::OpenEngines, CrowdScope::AllButReserved, CrowdScope::LastSlots, CrowdScope::AllEngines }) {
+            double room = 0;
+            for (std::size_t i = 0; i < levels.size(); ++i) {
+                levels[i].room = this->crowdRoom(i, partMs, scope, openEngines);
+                room += levels[i].room;
+            }
+            if (room >= crowd.arrivals.unreported.requests + 1)
+                break;
+        }
+        const auto choice = chooseByStaleLoad(levels, crowd.arrivals.unreported.requests, crowd.draw);
+        if (!choice)
+            return std::nullopt;
+        PromptPlacement placement;
+        placement.runnerIndex = choice->index;
+        placement.reservedTokens = this->reservedTokensEach;
+        placement.isCrowdPlacement = true;
+        this->predict(placement, partMs);
+        const double unreportedMs = choice->unreportedRequests * partMs;
+        placement.timeToFirstEvent += Foundation::fromSeconds(unreportedMs / 1e3);
+        placement.prefillAhead += Foundation::fromSeconds(unreportedMs / 1e3);
+        return placement;
+    }
+
     bool isEligibleRunner(std::size_t index) const
     {
         const EngineCandidate& candidate = this->candidates[index];
@@ -241,7 +345,7 @@
             cost += packedEngineCost;
         if (allStreams > similarStreams)
             cost += longStreamsCost;
-        if (index >= this->candidates.size() - this->candidates.size() / reservedEngineInterval)
+        if (this->isReserved(index))
             cost += reservedEngineCost;
         return (cost + tieBreakerCost * candidate.tieBreaker) * this->demand.weight;
     }
--- a/src/libs/placement/placementplanner.h
+++ b/src/libs/placement/placementplanner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "arrivalestimator.h"
 #include "enginemodel.h"
 #include "upstreamusage.h"
 
@@ -38,6 +39,13 @@
     bool canHelp = true;
 };
 
+/** The dispatches of all gateways, for a decision about engines whose known load is out of date. */
+struct CrowdExpectation {
+    ArrivalEstimate arrivals;
+    /** A number in [0, 1) that selects the engine; successive ones should be spread evenly. */
+    double draw = 0;
+};
+
 /** The resources that a queued prompt needs, and its latency targets. */
 struct PromptDemand {
     std::int64_t promptTokens = 0;
@@ -50,6 +58,8 @@
     double weight = 1;
     /** Whether load updates of most other processes are available. */
     bool isPeerLoadAvailable = true;
+    /** None if short prompts are placed without regard to crowds. */
+    std::optional<CrowdExpectation> crowd {};
 };
 
 /** An engine that prefills a part of a prompt for the engine that runs it. */
@@ -77,6 +87,8 @@
     double streamDelayCost = 0;
     /** The cost of occupying engines for so long that other requests cannot share them. */
     double occupancyCost = 0;
+    /** Whether the engine was chosen by the expected dispatches of the other gateways. */
+    bool isCrowdPlacement = false;
 };
 
 /** Returns the weight of a request, which grows with its prompt. */
@@ -85,7 +97,8 @@
 /**
  * Chooses the engines of a prompt. Prefilling long prompts beside short ones would delay the streams of the short ones.
  * Therefore short prompts are packed onto the first engines, and long prompts are split evenly over as many of the
- * other engines as minimizes the delay of streams in flight.
+ * other engines as minimizes the delay of streams in flight. In a crowd, that is, when the other gateways are expected
+ * to have dispatched much that is not reported yet, short prompts are spread instead (see chooseByStaleLoad()).
  * @param candidates the engines, in the same order in all processes.
  * @return the placement with the lowest cost; none if no engine has a free slot and enough memory.
  */
