Place short prompts in a crowd by the expected dispatches of the gateways

CrowdPlacement feeds ArrivalEstimator from the own dispatches and from load updates, and passes the expectation to placePrompt(). It is active where there are more gateways than an engine has slots, or as the setting crowdPlacement says. The first engine that a gateway chooses follows from its rank, so that gateways without load updates spread. Event 520 and two metrics expose the decisions. Not yet measured on a whole deployment.

--- /dev/null
+++ b/src/apps/gateway/crowdplacement.cpp
@@ -0,0 +1,104 @@
+#include "crowdplacement.h"
+
+#include <foundation/identifier.h>
+#include <foundation/logging.h>
+
+#include <cmath>
+#include <string>
+
+namespace Gateway {
+
+namespace {
+
+using Foundation::Duration;
+using Foundation::Event;
+using Foundation::logEvent;
+using Foundation::TimePoint;
+
+// Successive multiples of the golden ratio, modulo 1, are spread evenly over [0, 1) for any number of them.
+constexpr double drawStep = 0.6180339887498949;
+constexpr double hashRange = 18'446'744'073'709'551'616.0;
+// A crowd has ended when this process has placed no prompt by its rules for this time. It also bounds how often the
+// event is logged.
+constexpr Duration crowdEndTime = std::chrono::seconds(1);
+
+} // namespace
+
+CrowdPlacement::CrowdPlacement(
+    const Foundation::Clock& clock, Foundation::MetricRegistry& metrics, std::string_view process)
+    : clock(clock)
+    , metrics(metrics)
+    , placements(metrics.counter("bluebell_crowd_placements_total"))
+    , arrivals(clock)
+    , nextDraw(static_cast<double>(Foundation::hash64(process) >> 1U) * 2 / hashRange)
+{
+}
+
+void CrowdPlacement::setProcesses(std::size_t count, std::size_t rank)
+{
+    this->arrivals.setProcessCount(count);
+    // Gateways that begin at evenly spaced positions choose different engines even without load updates.
+    if (count > 1 && count != this->processCount)
+        this->nextDraw = static_cast<double>(rank) / static_cast<double>(count);
+    this->processCount = count;
+}
+
+void CrowdPlacement::recordPeer(std::string_view peer, const Placement::DispatchedWork& work)
+{
+    this->arrivals.recordPeer(peer, work);
+}
+
+bool CrowdPlacement::isActive(int slots) const
+{
+    if (this->featureSwitch != FeatureSwitch::Automatic)
+        return this->featureSwitch == FeatureSwitch::On;
+    return slots > 0 && this->processCount > static_cast<std::size_t>(slots);
+}
+
+std::optional<Placement::CrowdExpectation> CrowdPlacement::expectation(int slots) const
+{
+    if (!this->isActive(slots))
+        return std::nullopt;
+    return Placement::CrowdExpectation { this->arrivals.estimate(), this->nextDraw };
+}
+
+void CrowdPlacement::recordDispatch(const Placement::PromptPlacement& placement)
+{
+    const auto parts = static_cast<double>(placement.helpers.size() + 1);
+    this->arrivals.recordOwn({ 1, parts * Foundation::toSeconds(placement.partPrefillTime) });
+    if (!placement.isCrowdPlacement)
+        return;
+    this->nextDraw = std::fmod(this->nextDraw + drawStep, 1.0);
+    this->placements.fetch_add(1);
+    const TimePoint now = this->clock.now();
+    this->lastCrowdPlacement = now;
+    ++this->placementsInCrowd;
+    if (this->isInCrowd)
+        return;
+    this->isInCrowd = true;
+    this->crowdBegan = now;
+    this->placementsInCrowd = 1;
+    const Placement::ArrivalEstimate estimate = this->arrivals.estimate();
+    logEvent(Event::CrowdPlacement, "",
+        "state=begun prompts_per_second=" + std::to_string(estimate.perSecond.requests)
+            + " unreported=" + std::to_string(estimate.unreported.requests)
+            + " age_ms=" + std::to_string(Foundation::toMilliseconds(estimate.age)));
+}
+
+void CrowdPlacement::tick()
+{
+    const TimePoint now = this->clock.now();
+    if (!this->isInCrowd || now - this->lastCrowdPlacement < crowdEndTime)
+        return;
+    this->isInCrowd = false;
+    logEvent(Event::CrowdPlacement, "",
+        "state=ended placements=" + std::to_string(this->placementsInCrowd)
+            + " lasted_ms=" + std::to_string(Foundation::toMilliseconds(this->lastCrowdPlacement - this->crowdBegan)));
+}
+
+void CrowdPlacement::updateMetrics()
+{
+    this->metrics.setGauge("bluebell_unreported_requests", "", this->arrivals.estimate().unreported.requests);
+}
+
+} // namespace Gateway
--- a/src/apps/gateway/dispatcher.cpp
+++ b/src/apps/gateway/dispatcher.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 Dispatcher::Dispatcher(const Foundation::Clock& clock, Membership::UpstreamDirectory& directory,
-    Relay::UpstreamHealth& health, Placement::LoadLedger& ledger, PermitExchange& permits,
+    Relay::UpstreamHealth& health, Placement::LoadLedger& ledger, PermitExchange& permits, CrowdPlacement& crowds,
     std::map<std::string, std::string, std::less<>> regionByFailureDomain, std::string failureDomain,
     std::string_view process)
     : clock(clock)
@@ -34,6 +34,7 @@
     , health(health)
     , ledger(ledger)
     , permits(permits)
+    , crowds(crowds)
     , regionByFailureDomain(std::move(regionByFailureDomain))
     , failureDomain(std::move(failureDomain))
     , processHash(Foundation::hash64(process))
@@ -266,6 +267,8 @@
     }
     Placement::PromptDemand demand = prompt.demand;
     demand.isPeerLoadAvailable = this->isPeerLoadAvailable;
+    if (!candidates.empty())
+        demand.crowd = this->crowds.expectation(candidates.front().slots);
     return Placement::placePrompt(this->queues.find(pending.criteria.service)->second.model(), candidates, demand);
 }
 
@@ -288,6 +291,7 @@
     this->pendingPrompts.erase(found);
     const Upstream& upstream = *this->placementUpstreams.at(placement.runnerIndex);
     this->countRequest(upstream.generationId());
+    this->crowds.recordDispatch(placement);
     const std::int64_t partPrefillUs
         = std::chrono::duration_cast<std::chrono::microseconds>(placement.partPrefillTime).count();
     Placement::DispatchedRequest request;
--- a/src/apps/gateway/dispatcher.h
+++ b/src/apps/gateway/dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crowdplacement.h"
 #include "permitexchange.h"
 
 #include <foundation/clock.h>
@@ -65,7 +66,7 @@
 class Dispatcher {
 public:
     Dispatcher(const Foundation::Clock& clock, Membership::UpstreamDirectory& directory, Relay::UpstreamHealth& health,
-        Placement::LoadLedger& ledger, PermitExchange& permits,
+        Placement::LoadLedger& ledger, PermitExchange& permits, CrowdPlacement& crowds,
         std::map<std::string, std::string, std::less<>> regionByFailureDomain, std::string failureDomain,
         std::string_view process);
 
@@ -155,6 +156,7 @@
     Relay::UpstreamHealth& health;
     Placement::LoadLedger& ledger;
     PermitExchange& permits;
+    CrowdPlacement& crowds;
     Relay::ColdStartLimiter coldStartLimiter;
     std::map<std::string, std::string, std::less<>> regionByFailureDomain;
     std::string failureDomain;
--- /dev/null
+++ b/src/apps/gateway/featureswitch.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <cstdint>
+
+namespace Gateway {
+
+/** Whether a behaviour is active: by a rule about the deployment, always or never. */
+enum class FeatureSwitch : std::uint8_t { Automatic, On, Off };
+
+} // namespace Gateway
--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -99,13 +99,15 @@
     , peers(context, this->clock, { settings.node.name, settings.node.failureDomain, settings.node.processorCores },
           settings.node.peerEndpoint.text(),
           { [this](const Wire::PeerLoad& load) {
-               this->ledger.setPeerUsage(load.process, load.usages, load.isComplete);
+               this->crowds.recordPeer(
+                   load.process, this->ledger.setPeerUsage(load.process, load.usages, load.isComplete));
                if (load.isComplete)
                    this->permits.recordSupport(load.process, load.permitIssuer);
                this->onLoadChanged(false);
            },
               [this](const std::string& peer) {
                   this->ledger.dropPeer(peer);
+                  this->crowds.dropPeer(peer);
                   this->dispatcher.schedule();
               },
               [this](const Wire::StoreCacheQuery& query) { return this->storeSynchronizer.answerQuery(query); },
@@ -170,8 +172,9 @@
     , partCrashStore(this->suspectWriter, this->clock, this->wallClock, this->promptParts)
     , partCrashes(this->clock, this->promptParts, this->partCrashStore,
           [this](const Wire::SuspectNotice& notice) { this->peers.broadcast(notice); })
+    , crowds(this->clock, this->metrics, settings.node.name)
     , dispatcher(this->clock, this->storeSynchronizer.directory(), this->health, this->ledger, this->permits,
-          settings.node.regionByFailureDomain, settings.node.failureDomain, settings.node.name)
+          this->crowds, settings.node.regionByFailureDomain, settings.node.failureDomain, settings.node.name)
     , proxyContext { this->clock, this->metrics, this->transfers, this->storeSynchronizer, this->dispatcher,
         this->ledger, this->retryBudget, this->health, this->suspects, this->silenceWatch, this->promptParts,
         this->partCrashes, this->answerMemory, this->memoryLeases, this->permits,
@@ -387,6 +390,8 @@
     const std::size_t processes = this->peers.memberCount();
     this->retryBudget.setProcessCount(processes);
     this->dispatcher.setProcessCount(processes);
+    this->crowds.setProcesses(processes, this->peers.memberRank());
+    this->crowds.setSwitch(this->settings.crowdPlacement);
     this->dispatcher.setColdStartLimit(this->settings.node.coldStartFactor, this->settings.node.coldStartAllowance);
 }
 
@@ -499,6 +504,7 @@
     this->peers.tick();
     this->dispatcher.setPeerLoadAvailable(this->peers.isMajorityConnected());
     this->memoryLeases.tick();
+    this->crowds.tick();
     this->permits.tick();
     std::vector<std::shared_ptr<ProxiedRequest>> activeRequests;
     for (const auto& [key, request] : this->requests)
@@ -552,6 +558,7 @@
     this->metrics.setGauge("bluebell_suspects", "", static_cast<double>(this->suspects.size()));
     this->metrics.setGauge("bluebell_limited_upstreams", "", static_cast<double>(this->upstreamLimits.size()));
     this->metrics.setGauge("bluebell_gateways", "", static_cast<double>(this->peers.memberCount()));
+    this->crowds.updateMetrics();
     return this->metrics.render();
 }
 
--- a/src/apps/gateway/gatewaycore.h
+++ b/src/apps/gateway/gatewaycore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "completionstore.h"
+#include "crowdplacement.h"
 #include "gatewaysettings.h"
 #include "peerconnections.h"
 #include "permitexchange.h"
@@ -114,6 +115,7 @@
     CompletionStore completionStore;
     PartCrashStore partCrashStore;
     PartCrashExchange partCrashes;
+    CrowdPlacement crowds;
     Dispatcher dispatcher;
     ProxyContext proxyContext;
     std::map<const ProxiedRequest*, std::shared_ptr<ProxiedRequest>> requests;
--- a/src/apps/gateway/gatewaysettings.cpp
+++ b/src/apps/gateway/gatewaysettings.cpp
@@ -14,6 +14,18 @@
 
 constexpr const char* nodeKey = "node";
 
+FeatureSwitch readSwitch(Foundation::JsonObjectReader& reader, std::string_view key)
+{
+    const std::string value = reader.text(key, "auto");
+    if (value == "on")
+        return FeatureSwitch::On;
+    if (value == "off")
+        return FeatureSwitch::Off;
+    if (value != "auto")
+        reader.fail(key, "must be auto, on or off");
+    return FeatureSwitch::Automatic;
+}
+
 } // namespace
 
 Foundation::Result<GatewaySettings> parseGatewaySettings(std::string_view fileName, std::string_view text)
@@ -27,6 +39,7 @@
     settings.logSeverity = Application::readLogSeverity(reader);
     settings.logLinesPerSecond = reader.integer("logLinesPerSecond", 1, 100'000, settings.logLinesPerSecond);
     settings.metricsPort = static_cast<std::uint16_t>(reader.integer("metricsPort", 1, 65535, settings.metricsPort));
+    settings.crowdPlacement = readSwitch(reader, "crowdPlacement");
     // The platform writes this object and may add fields at any time, so it is not checked for unknown keys.
     reader.object(nodeKey);
     reader.rejectUnknownKeys();
--- a/src/apps/gateway/gatewaysettings.h
+++ b/src/apps/gateway/gatewaysettings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "featureswitch.h"
+
 #include <foundation/event.h>
 #include <foundation/resultcode.h>
 #include <platform/httptransfers.h>
@@ -19,6 +21,8 @@
     /** The maximum number of log lines per second. */
     std::int64_t logLinesPerSecond = 200;
     std::uint16_t metricsPort = 9100;
+    /** Whether short prompts are placed by what other gateways are expected to have dispatched. */
+    FeatureSwitch crowdPlacement = FeatureSwitch::Automatic;
 };
 
 /**
--- a/src/apps/gateway/peerconnections.cpp
+++ b/src/apps/gateway/peerconnections.cpp
@@ -94,6 +94,12 @@
     return this->members.size() + (this->members.contains(this->self.process) ? 0 : 1);
 }
 
+std::size_t PeerConnections::memberRank() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->members, [this](const auto& member) { return member.first < this->self.process; }));
+}
+
 std::size_t PeerConnections::presentMemberCount() const
 {
     return this->memberCount() - std::min(this->departedMembers.size(), this->memberCount() - 1);
--- a/src/apps/gateway/peerconnections.h
+++ b/src/apps/gateway/peerconnections.h
@@ -91,6 +91,9 @@
     /** Returns the number of listed gateways, including this one. */
     std::size_t memberCount() const;
 
+    /** Returns how many listed gateways precede this one in the order of their names. */
+    std::size_t memberRank() const;
+
     /** Returns the number of listed gateways, including this one, without those that have said that they stop. */
     std::size_t presentMemberCount() const;
 
--- a/src/libs/foundation/event.cpp
+++ b/src/libs/foundation/event.cpp
@@ -101,6 +101,8 @@
         "A permit for a request to an upstream with a limit was obtained, was refused, or got no reply." },
     { Event::PermitIssuerSelected, "PermitIssuerSelected", Severity::Info,
         "The process gets its permits for upstreams with a limit at another gateway." },
+    { Event::CrowdPlacement, "CrowdPlacement", Severity::Info,
+        "Short prompts are placed by what other gateways are expected to have dispatched, or no longer." },
     { Event::ClaimWon, "ClaimWon", Severity::Debug, "The claim for an idempotency key was won." },
     { Event::ClaimLost, "ClaimLost", Severity::Info, "The claim for an idempotency key belongs to another attempt." },
     { Event::ClaimReleased, "ClaimReleased", Severity::Info,
--- a/src/libs/foundation/event.h
+++ b/src/libs/foundation/event.h
@@ -67,6 +67,7 @@
     UpstreamLimited = 512,
     PermitDecided = 513,
     PermitIssuerSelected = 514,
+    CrowdPlacement = 520,
     ClaimWon = 600,
     ClaimLost = 601,
     ClaimReleased = 602,
