Refuse long prompts without a prospect early and keep engines for short ones

Long prompts that had waited took all engines just when a burst of short ones began.

Change: ProspectEstimator estimates the first event from the queue, the backlogs of the engines and their memory, and PromptQueue refuses at once what cannot be in time. DemandMonitor follows the streams in flight at all engines and closes the engines that they need to long prompts, through a field of PromptDemand. Both are active by the new setting contentionPolicy (auto: services whose routes have different priorities). Event 521, metrics bluebell_prompts_refused_total and bluebell_prefill_demand.

--- a/src/apps/gateway/crowdplacement.cpp
+++ b/src/apps/gateway/crowdplacement.cpp
@@ -50,8 +50,8 @@
 
 bool CrowdPlacement::isActive(int slots) const
 {
-    if (this->featureSwitch != FeatureSwitch::Automatic)
-        return this->featureSwitch == FeatureSwitch::On;
+    if (this->featureSwitch != Foundation::FeatureSwitch::Automatic)
+        return this->featureSwitch == Foundation::FeatureSwitch::On;
     return slots > 0 && this->processCount > static_cast<std::size_t>(slots);
 }
 
--- a/src/apps/gateway/crowdplacement.h
+++ b/src/apps/gateway/crowdplacement.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "featureswitch.h"
+#include <foundation/featureswitch.h>
 
 #include <foundation/clock.h>
 #include <foundation/metrics.h>
@@ -23,7 +23,7 @@
     /** @param clock, metrics must outlive this object. @param process the name of this process. */
     CrowdPlacement(const Foundation::Clock& clock, Foundation::MetricRegistry& metrics, std::string_view process);
 
-    void setSwitch(FeatureSwitch newSwitch) { this->featureSwitch = newSwitch; }
+    void setSwitch(Foundation::FeatureSwitch newSwitch) { this->featureSwitch = newSwitch; }
 
     /**
      * Sets how many gateways there are, this one included.
@@ -59,7 +59,7 @@
     Foundation::MetricRegistry& metrics;
     std::atomic<std::uint64_t>& placements;
     Placement::ArrivalEstimator arrivals;
-    FeatureSwitch featureSwitch = FeatureSwitch::Automatic;
+    Foundation::FeatureSwitch featureSwitch = Foundation::FeatureSwitch::Automatic;
     std::size_t processCount = 1;
     /** The number that selects the next engine in a crowd. */
     double nextDraw = 0;
--- a/src/apps/gateway/dispatcher.cpp
+++ b/src/apps/gateway/dispatcher.cpp
@@ -48,6 +48,7 @@
         if (service.engine)
             this->queues.try_emplace(service.name, Placement::EngineModel(*service.engine));
     }
+    this->applyContentionPolicy();
 }
 
 void Dispatcher::setProcessCount(std::size_t count)
@@ -195,6 +196,8 @@
     const Placement::QueuedPromptId id = ++this->lastQueuedPromptId;
     pending.prompt.id = id;
     pending.prompt.demand.weight = Placement::promptWeight(pending.prompt.demand.promptTokens);
+    if (Placement::ContentionPolicy* const contention = this->contentionPolicy(pending.criteria.service))
+        contention->recordArrival(pending.prompt.demand, this->clock.now());
     queue->second.add(pending.prompt);
     this->pendingPrompts.emplace(id, std::move(pending));
     return id;
@@ -217,20 +220,12 @@
     this->isScheduling = true;
     const TimePoint now = this->clock.now();
     for (auto& [service, queue] : this->queues) {
+        if (Placement::ContentionPolicy* const contention = this->contentionPolicy(service))
+            contention->observe(now, [this, &name = service] { return this->listEngines({ name, {}, {} }); });
         if (queue.size() == 0)
             continue;
         const std::size_t engineCount = this->usableUpstreams({ service, {}, {} }).size();
-        queue.schedule(now, engineCount,
-            { [this](const Placement::QueuedPrompt& prompt) -> std::optional<Placement::PromptPlacement> {
-                 const auto found = this->pendingPrompts.find(prompt.id);
-                 return found == this->pendingPrompts.end() ? std::nullopt : this->place(prompt, found->second);
-             },
-                [this](Placement::QueuedPromptId id, const Placement::PromptPlacement& placement) {
-                    this->dispatch(id, placement);
-                },
-                [this](Placement::QueuedPromptId id, Foundation::ResultCode code, Duration retryAfter) {
-                    this->refuse(id, code, retryAfter);
-                } });
+        queue.schedule(now, engineCount, this->queueActions(service));
     }
     this->isScheduling = false;
 }
@@ -269,6 +264,8 @@
     demand.isPeerLoadAvailable = this->isPeerLoadAvailable;
     if (!candidates.empty())
         demand.crowd = this->crowds.expectation(candidates.front().slots);
+    if (const Placement::ContentionPolicy* const contention = this->contentionPolicy(pending.criteria.service))
+        demand.enginesOpenToLongPrompts = contention->openEngineCount(demand);
     return Placement::placePrompt(this->queues.find(pending.criteria.service)->second.model(), candidates, demand);
 }
 
--- a/src/apps/gateway/dispatcher.h
+++ b/src/apps/gateway/dispatcher.h
@@ -4,8 +4,10 @@
 #include "permitexchange.h"
 
 #include <foundation/clock.h>
+#include <foundation/featureswitch.h>
 #include <foundation/metrics.h>
 #include <membership/upstreamdirectory.h>
+#include <placement/contentionpolicy.h>
 #include <placement/loadledger.h>
 #include <placement/promptqueue.h>
 #include <policy/trafficpolicy.h>
@@ -83,6 +85,15 @@
     /** Sets whether load updates of most other processes are available. */
     void setPeerLoadAvailable(bool isAvailable) { this->isPeerLoadAvailable = isAvailable; }
 
+    /**
+     * Sets when the contention policy is active. Automatic: for services whose routes have different priorities.
+     * @param registry counts the prompts that are refused; must outlive the dispatcher.
+     */
+    void setContentionPolicy(Foundation::FeatureSwitch newSwitch, Foundation::MetricRegistry& registry);
+
+    /** Updates the gauges of the observed demand. */
+    void updateMetrics();
+
     /** Sets how many processes dispatch to the same upstreams. */
     void setProcessCount(std::size_t count);
 
@@ -139,6 +150,14 @@
     bool canReceive(const Membership::Upstream& upstream, const UpstreamCriteria& criteria, Foundation::TimePoint now);
     /** Counts a request that is about to be sent. */
     void countRequest(std::string_view upstreamGeneration);
+    /** Activates the contention policy where the switch and the routes call for it, and ends it elsewhere. */
+    void applyContentionPolicy();
+    /** Returns the contention policy of a service; null if it is not active. */
+    Placement::ContentionPolicy* contentionPolicy(std::string_view service);
+    /** Returns the load of the engines that a prompt of a service may use, for the contention policy. */
+    std::vector<Placement::EngineCandidate> listEngines(const UpstreamCriteria& criteria);
+    Placement::PromptQueueActions queueActions(const std::string& service);
+    void recordEarlyRefusal(const Placement::QueuedPrompt& prompt, Foundation::Duration expectedFirstEvent);
     std::optional<Placement::PromptPlacement> place(
         const Placement::QueuedPrompt& prompt, const PendingPrompt& pending);
     void dispatch(Placement::QueuedPromptId id, const Placement::PromptPlacement& placement);
@@ -168,6 +187,10 @@
     std::shared_ptr<const Policy::TrafficPolicy> policy;
     /** One queue for each service that runs on model engines. */
     std::map<std::string, Placement::PromptQueue, std::less<>> queues;
+    /** The contention policies of the services for which it is active. */
+    std::map<std::string, Placement::ContentionPolicy, std::less<>> contentionPolicies;
+    Foundation::FeatureSwitch contentionSwitch = Foundation::FeatureSwitch::Off;
+    Foundation::MetricRegistry* metrics = nullptr;
     std::map<Placement::QueuedPromptId, PendingPrompt> pendingPrompts;
     Placement::QueuedPromptId lastQueuedPromptId = 0;
     /** The upstreams to which the indexes of the latest placement refer. */
--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -392,6 +392,7 @@
     this->dispatcher.setProcessCount(processes);
     this->crowds.setProcesses(processes, this->peers.memberRank());
     this->crowds.setSwitch(this->settings.crowdPlacement);
+    this->dispatcher.setContentionPolicy(this->settings.contentionPolicy, this->metrics);
     this->dispatcher.setColdStartLimit(this->settings.node.coldStartFactor, this->settings.node.coldStartAllowance);
 }
 
@@ -551,6 +552,7 @@
 
 std::string GatewayCore::renderMetrics()
 {
+    this->dispatcher.updateMetrics();
     this->metrics.setGauge("bluebell_requests_under_way", "", static_cast<double>(this->requests.size()));
     this->metrics.setGauge("bluebell_prompts_waiting", "", static_cast<double>(this->dispatcher.queuedPromptCount()));
     this->metrics.setGauge("bluebell_upstreams", "", static_cast<double>(this->storeSynchronizer.directory().size()));
--- a/src/apps/gateway/gatewaysettings.cpp
+++ b/src/apps/gateway/gatewaysettings.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 using Foundation::Error;
+using Foundation::FeatureSwitch;
 using Foundation::ResultCode;
 
 constexpr const char* nodeKey = "node";
@@ -40,6 +41,7 @@
     settings.logLinesPerSecond = reader.integer("logLinesPerSecond", 1, 100'000, settings.logLinesPerSecond);
     settings.metricsPort = static_cast<std::uint16_t>(reader.integer("metricsPort", 1, 65535, settings.metricsPort));
     settings.crowdPlacement = readSwitch(reader, "crowdPlacement");
+    settings.contentionPolicy = readSwitch(reader, "contentionPolicy");
     // The platform writes this object and may add fields at any time, so it is not checked for unknown keys.
     reader.object(nodeKey);
     reader.rejectUnknownKeys();
--- a/src/apps/gateway/gatewaysettings.h
+++ b/src/apps/gateway/gatewaysettings.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include "featureswitch.h"
-
 #include <foundation/event.h>
+#include <foundation/featureswitch.h>
 #include <foundation/resultcode.h>
 #include <platform/httptransfers.h>
 
@@ -22,7 +21,9 @@
     std::int64_t logLinesPerSecond = 200;
     std::uint16_t metricsPort = 9100;
     /** Whether short prompts are placed by what other gateways are expected to have dispatched. */
-    FeatureSwitch crowdPlacement = FeatureSwitch::Automatic;
+    Foundation::FeatureSwitch crowdPlacement = Foundation::FeatureSwitch::Automatic;
+    /** Whether long prompts are refused early and engines kept free for short ones. */
+    Foundation::FeatureSwitch contentionPolicy = Foundation::FeatureSwitch::Automatic;
 };
 
 /**
--- a/src/libs/foundation/event.cpp
+++ b/src/libs/foundation/event.cpp
@@ -103,6 +103,8 @@
         "The process gets its permits for upstreams with a limit at another gateway." },
     { Event::CrowdPlacement, "CrowdPlacement", Severity::Info,
         "Short prompts are placed by what other gateways are expected to have dispatched, or no longer." },
+    { Event::PromptRefusedEarly, "PromptRefusedEarly", Severity::Info,
+        "A waiting long prompt was refused because its first event could no longer be expected in time." },
     { Event::ClaimWon, "ClaimWon", Severity::Debug, "The claim for an idempotency key was won." },
     { Event::ClaimLost, "ClaimLost", Severity::Info, "The claim for an idempotency key belongs to another attempt." },
     { Event::ClaimReleased, "ClaimReleased", Severity::Info,
--- a/src/libs/foundation/event.h
+++ b/src/libs/foundation/event.h
@@ -68,6 +68,7 @@
     PermitDecided = 513,
     PermitIssuerSelected = 514,
     CrowdPlacement = 520,
+    PromptRefusedEarly = 521,
     ClaimWon = 600,
     ClaimLost = 601,
     ClaimReleased = 602,
--- a/src/libs/placement/placementplanner.cpp
+++ b/src/libs/placement/placementplanner.cpp
@@ -95,8 +95,7 @@
         , candidates(candidates)
         , demand(demand)
         , hasShortPrompt(isShortPrompt(model, demand))
-        , isPackedPrompt(Foundation::toSeconds(model.prefillTime(demand.promptTokens))
-              <= packedPromptGapMultiple * Foundation::toSeconds(demand.eventGapTarget))
+        , isPackedPrompt(Placement::isPackedPrompt(model, demand))
     {
         this->usableMemory
             = static_cast<std::int64_t>(usableMemoryFraction * static_cast<double>(model.profile().memoryTokens));
@@ -247,9 +246,21 @@
         return placement;
     }
 
+    // Returns whether the engine is open to the prompt. A prompt that needs the memory of several engines gets as
+    // many.
+    bool isOpen(std::size_t index) const
+    {
+        if (this->isPackedPrompt || !this->demand.enginesOpenToLongPrompts)
+            return true;
+        const std::size_t open = std::max(*this->demand.enginesOpenToLongPrompts, this->memoryEngineCount);
+        return index + open >= this->candidates.size();
+    }
+
     bool isEligibleRunner(std::size_t index) const
     {
         const EngineCandidate& candidate = this->candidates[index];
+        if (!this->isOpen(index))
+            return false;
         const bool arePackedSlotsFull
             = static_cast<double>(candidate.usage->requests) >= packedSlotFraction * candidate.slots;
         return candidate.canRun && candidate.usage->requests < candidate.slots
@@ -257,8 +268,8 @@
             && this->freeTokens(index) >= this->reservedTokensEach;
     }
 
-    // Returns the weight lost by streams on an engine that a decode cycle with this additional prefill would delay past
-    // their event-gap target.
+    // Returns the weight lost by streams on an engine that a decode cycle with this additional prefill would delay
+    // past their event-gap target.
     double streamDelayCostAt(std::size_t index, double partMs) const
     {
         const double beforeMs = this->cycleTimesMs[index] + this->backlogsMs[index];
@@ -327,8 +338,8 @@
     }
 
     // Returns the cost of running a prompt among the short ones on an engine, besides stream delay and first-event
-    // delay. The set of open engines is the same in all processes and changes slowly; within it the tie-breaker makes
-    // processes that decide at the same moment choose different engines.
+    // delay. The set of open engines is the same in all processes and changes slowly; within it the tie-breaker
+    // makes processes that decide at the same moment choose different engines.
     double packingCost(std::size_t index) const
     {
         const EngineCandidate& candidate = this->candidates[index];
@@ -426,8 +437,8 @@
             / memory;
     }
 
-    // Reserves the prompt's memory beyond the runner's part on the helpers with the most free memory. Returns whether
-    // it fits.
+    // Reserves the prompt's memory beyond the runner's part on the helpers with the most free memory. Returns
+    // whether it fits.
     bool reserveMemory(std::vector<PrefillHelper>& helpers) const
     {
         std::vector<PrefillHelper*> byFreeMemory;
@@ -448,7 +459,7 @@
         std::vector<std::size_t> available;
         std::vector<double> helperCosts(costs.begin(), costs.end());
         for (std::size_t i = 0; i < costs.size(); ++i) {
-            if (i == runner || !this->candidates[i].canHelp)
+            if (i == runner || !this->candidates[i].canHelp || !this->isOpen(i))
                 continue;
             available.push_back(i);
             helperCosts[i] += this->helperCost(i);
@@ -525,6 +536,12 @@
     return Foundation::toSeconds(prefill) <= shortPromptGapFraction * Foundation::toSeconds(demand.eventGapTarget);
 }
 
+bool isPackedPrompt(const EngineModel& model, const PromptDemand& demand)
+{
+    const Duration prefill = model.prefillTime(demand.promptTokens);
+    return Foundation::toSeconds(prefill) <= packedPromptGapMultiple * Foundation::toSeconds(demand.eventGapTarget);
+}
+
 std::optional<PromptPlacement> placePrompt(
     const EngineModel& model, std::span<const EngineCandidate> candidates, const PromptDemand& demand)
 {
--- a/src/libs/placement/placementplanner.h
+++ b/src/libs/placement/placementplanner.h
@@ -60,6 +60,8 @@
     bool isPeerLoadAvailable = true;
     /** None if short prompts are placed without regard to crowds. */
     std::optional<CrowdExpectation> crowd {};
+    /** How many engines, at the end of the order, may run or prefill the prompt if it is long; none if all may. */
+    std::optional<std::size_t> enginesOpenToLongPrompts {};
 };
 
 /** An engine that prefills a part of a prompt for the engine that runs it. */
@@ -115,4 +117,7 @@
 /** Returns whether the prompt is so short that any engine can prefill it beside streams. */
 bool isShortPrompt(const EngineModel& model, const PromptDemand& demand);
 
+/** Returns whether the prompt runs among the short ones. Other prompts are long. */
+bool isPackedPrompt(const EngineModel& model, const PromptDemand& demand);
+
 } // namespace Placement
--- a/src/libs/placement/promptqueue.cpp
+++ b/src/libs/placement/promptqueue.cpp
@@ -134,8 +134,27 @@
             actions.refuse(prompt.id, ResultCode::DeadlineUnreachable, std::max(retryAfter, prompt.firstEventTarget));
             continue;
         }
+        if (this->refuseWithoutProspect(prompt, now, queuedPrefill, actions))
+            continue;
         queuedPrefill += prefill;
     }
 }
 
+bool PromptQueue::refuseWithoutProspect(
+    const QueuedPrompt& prompt, TimePoint now, Duration queuedPrefill, const PromptQueueActions& actions)
+{
+    if (!actions.expectedFirstEvent || prompt.hasBegun || isPackedPrompt(this->engineModel, prompt.demand))
+        return false;
+    const Duration expected = actions.expectedFirstEvent(prompt, queuedPrefill);
+    const TimePoint lastUsefulAt
+        = std::min(prompt.callerTimeoutAt, prompt.firstEventTargetAt + prompt.maximumWaitPastTarget);
+    if (now + expected <= lastUsefulAt)
+        return false;
+    this->remove(prompt.id);
+    if (actions.onRefusedEarly)
+        actions.onRefusedEarly(prompt, expected);
+    actions.refuse(prompt.id, ResultCode::DeadlineUnreachable, std::max(minimumRetryAfter, expected));
+    return true;
+}
+
 } // namespace Placement
--- a/src/libs/placement/promptqueue.h
+++ b/src/libs/placement/promptqueue.h
@@ -40,6 +40,13 @@
     std::function<void(QueuedPromptId, const PromptPlacement&)> dispatch;
     /** Refuses a prompt that has not run. The duration is the time after which the caller may retry. */
     std::function<void(QueuedPromptId, Foundation::ResultCode, Foundation::Duration)> refuse;
+    /**
+     * Returns the time to the first event that a long prompt which waits behind this much prefill work can expect at
+     * best; empty while the contention policy is not active.
+     */
+    std::function<Foundation::Duration(const QueuedPrompt&, Foundation::Duration)> expectedFirstEvent = {};
+    /** Called before a prompt is refused because of that time. */
+    std::function<void(const QueuedPrompt&, Foundation::Duration)> onRefusedEarly = {};
 };
 
 /**
@@ -48,7 +55,8 @@
  * Orders them when there are more long prompts than can be prefilled beside the streams in flight: short prompts go
  * first, long ones follow by first-event target. A prompt whose prefill would delay streams waits as long as it can
  * still meet its target; then it is dispatched if its weight exceeds the cost of the delay. A prompt that cannot be
- * answered before its caller times out is refused at once. A prompt whose answer has begun goes before all others and
+ * answered before its caller times out is refused at once; under the contention policy also a long prompt for which no
+ * first event in time can be expected. A prompt whose answer has begun goes before all others and
  * is dispatched as soon as an engine has room.
  */
 class PromptQueue {
@@ -74,6 +82,9 @@
 
     Decision decide(const QueuedPrompt& prompt, const PromptPlacement& placement, Foundation::Duration fastest) const;
     bool precedes(const QueuedPrompt& a, const QueuedPrompt& b) const;
+    /** Refuses a long prompt whose first event cannot be expected in time. @return whether it was refused. */
+    bool refuseWithoutProspect(const QueuedPrompt& prompt, Foundation::TimePoint now,
+        Foundation::Duration queuedPrefill, const PromptQueueActions& actions);
 
     EngineModel engineModel;
     std::vector<QueuedPrompt> prompts;
