Find a crashing prompt part behind any number of others

A full crash keeps parts that occur in other crashes, then a selection that differs from crash to crash. Duplicates, completions and refusals no longer take time that grows with the square of the list or with the number of crashes for each part. A completion adds at most 128 parts without a crash, a stored crash holds at most 1,024 parts, a batch of possible crashes 32,768, a log line 16.

--- a/src/apps/gateway/partcrashexchange.cpp
+++ b/src/apps/gateway/partcrashexchange.cpp
@@ -25,9 +25,13 @@
 // Callers often leave for other reasons than a crash, so possible crashes are told in batches.
 constexpr Duration possibleCrashInterval = std::chrono::milliseconds(300);
 constexpr std::size_t maximumPossibleCrashes = 256;
+// Bounds a batch to about 300 KB.
+constexpr std::size_t maximumPossibleParts = 32'768;
 // The minimum interval between two log lines with candidates, and how many of them a line has.
 constexpr Duration candidateLogInterval = std::chrono::milliseconds(500);
 constexpr std::size_t maximumLoggedCandidates = 5;
+// Enough to recognize a list; parts that cannot be told apart may be thousands.
+constexpr std::size_t maximumLoggedParts = 16;
 
 std::chrono::milliseconds fromAge(std::int64_t milliseconds)
 {
@@ -53,11 +57,13 @@
 {
     constexpr int hexadecimal = 16;
     std::string text;
-    for (const PromptPart part : parts) {
+    for (const PromptPart part : parts.first(std::min(parts.size(), maximumLoggedParts))) {
         std::array<char, 2 * sizeof(PromptPart)> digits {};
         const auto result = std::to_chars(digits.data(), digits.data() + digits.size(), part, hexadecimal);
         text.append(text.empty() ? "" : ",").append(digits.data(), result.ptr);
     }
+    if (parts.size() > maximumLoggedParts)
+        text += ",+" + std::to_string(parts.size() - maximumLoggedParts);
     return text;
 }
 
@@ -78,10 +84,19 @@
     if (crash.certainty != CrashCertainty::Possible) {
         this->hasNewCrash = true;
         this->broadcastCrashes({ crash });
-    } else if (this->unsentPossibleCrashes.size() < maximumPossibleCrashes)
+    } else if (this->unsentPossibleCrashes.size() < maximumPossibleCrashes
+        && this->unsentPartCount() + crash.parts.size() <= maximumPossibleParts)
         this->unsentPossibleCrashes.push_back(crash);
 }
 
+std::size_t PartCrashExchange::unsentPartCount() const
+{
+    std::size_t count = 0;
+    for (const PartCrash& crash : this->unsentPossibleCrashes)
+        count += crash.parts.size();
+    return count;
+}
+
 void PartCrashExchange::onCompleted(std::span<const PromptPart> parts)
 {
     Wire::SuspectNotice notice;
--- a/src/apps/gateway/partcrashexchange.h
+++ b/src/apps/gateway/partcrashexchange.h
@@ -58,6 +58,7 @@
 private:
     void broadcastCrashes(const std::vector<Quarantine::PartCrash>& crashes);
     void flushPossibleCrashes();
+    std::size_t unsentPartCount() const;
     void logDecisions();
     void logCandidates();
 
@@ -73,7 +74,7 @@
     Foundation::TimePoint nextCandidateLog {};
 };
 
-/** Returns prompt parts as in log lines: hexadecimal, separated by commas. */
+/** Returns prompt parts as in log lines: hexadecimal, separated by commas; of many the first ones and "+NUMBER". */
 std::string promptPartsText(std::span<const Quarantine::PromptPart> parts);
 
 } // namespace Gateway
--- a/src/libs/quarantine/promptpartregistry.cpp
+++ b/src/libs/quarantine/promptpartregistry.cpp
@@ -2,7 +2,12 @@
 
 #include "suspectregistry.h"
 
+#include <foundation/identifier.h>
+
 #include <algorithm>
+#include <array>
+#include <bit>
+#include <tuple>
 #include <utility>
 
 namespace Quarantine {
@@ -13,8 +18,16 @@
 using Foundation::TimePoint;
 
 constexpr std::size_t maximumRecords = 128;
-// An upstream runs a few requests at a time, each with a list of parts.
-constexpr std::size_t maximumMembers = 1'024;
+// An upstream runs a few requests at a time, each with a list of parts. Two of the longest lists fit, and the usual
+// ones of all requests.
+constexpr std::size_t maximumMembers = 8'192;
+// Bounds all records together to about 12 MB, and the time of a judgement.
+constexpr std::size_t maximumTotalMembers = 131'072;
+// A completion adds at most so many parts that no crash is recorded against, so that a few requests with long lists do
+// not displace the completions of others.
+constexpr std::size_t maximumNewCompletions = 128;
+// A record of the store then stays below 24 KB.
+constexpr std::size_t maximumStoredParts = 1'024;
 // More crashes than these add nothing to a cause; they make room for others.
 constexpr std::size_t sufficientCrashes = 16;
 // Two minutes of requests at the highest rate that one gateway serves, with a few parts each.
@@ -44,10 +57,11 @@
     return time;
 }
 
-bool containsAll(std::span<const PromptPart> parts, const std::vector<PromptPart>& required)
+// Differs from crash to crash, so that no choice of ids keeps a part out of all records that are full.
+std::uint64_t tieBreak(PromptPart part, std::uint64_t seed)
 {
-    return std::ranges::all_of(
-        required, [parts](PromptPart part) { return std::ranges::find(parts, part) != parts.end(); });
+    const auto bytes = std::bit_cast<std::array<char, sizeof(part)>>(part);
+    return Foundation::hash64({ bytes.data(), bytes.size() }, seed);
 }
 
 } // namespace
@@ -84,6 +98,16 @@
     for (const PromptPart part : crash.parts)
         isNew = this->addMember(record, part, crash) || isNew;
     this->isOutdated = this->isOutdated || isNew;
+    if (record.members.size() > maximumMembers)
+        this->trimMembers(crash.crash, record);
+    const auto countAll = [this] {
+        std::size_t count = 0;
+        for (const auto& [name, other] : this->records)
+            count += other.members.size();
+        return count;
+    };
+    while (countAll() > maximumTotalMembers)
+        this->removeOneRecord();
     return isNew;
 }
 
@@ -103,18 +127,13 @@
 
 bool PromptPartRegistry::addMember(Record& record, PromptPart part, const PartCrash& crash)
 {
-    if (!record.members.contains(part) && record.members.size() >= maximumMembers) {
-        const auto least = std::ranges::min_element(record.members, {},
-            [](const auto& entry) { return std::pair(entry.second.certainty, entry.second.lostAt); });
-        if (least->second.certainty > crash.certainty)
-            return false;
-        record.members.erase(least);
-    }
     const auto [found, isNew] = record.members.try_emplace(part, Member { crash.certainty, crash.lostAt, false });
     Member& member = found->second;
+    if (isNew)
+        ++this->openCounts[part];
     const auto completion = this->lastCompletions.find(part);
     if (completion != this->lastCompletions.end() && completion->second > record.aliveAt)
-        member.isAcquitted = true;
+        this->acquit(part, member);
     if (isNew)
         return true;
     member.lostAt = std::max(member.lostAt, crash.lostAt);
@@ -124,6 +143,52 @@
     return true;
 }
 
+void PromptPartRegistry::acquit(PromptPart part, Member& member)
+{
+    if (!std::exchange(member.isAcquitted, true))
+        this->closeMember(part);
+}
+
+void PromptPartRegistry::closeMember(PromptPart part)
+{
+    const auto open = this->openCounts.find(part);
+    if (--open->second == 0)
+        this->openCounts.erase(open);
+}
+
+void PromptPartRegistry::trimMembers(std::string_view name, Record& record)
+{
+    const std::uint64_t seed = Foundation::hash64(name);
+    // What has no effect goes first. A part that occurs in other crashes too may be their cause, so it stays longest.
+    const auto rank = [&](const auto& entry) {
+        const auto open = this->openCounts.find(entry.first);
+        const bool isRepeated = open != this->openCounts.end() && open->second > 1;
+        return std::tuple(this->counts(record, entry.second), isRepeated, entry.second.certainty,
+            tieBreak(entry.first, seed), entry.first);
+    };
+    constexpr std::size_t partIndex = 4;
+    using Rank = decltype(rank(*record.members.begin()));
+    std::vector<Rank> ranks;
+    ranks.reserve(record.members.size());
+    for (const auto& entry : record.members)
+        ranks.push_back(rank(entry));
+    const auto firstKept = ranks.end() - static_cast<std::ptrdiff_t>(maximumMembers);
+    std::ranges::nth_element(ranks, firstKept);
+    for (auto removed = ranks.begin(); removed != firstKept; ++removed) {
+        const auto member = record.members.find(std::get<partIndex>(*removed));
+        this->acquit(member->first, member->second);
+        record.members.erase(member);
+    }
+}
+
+void PromptPartRegistry::closeMembers(const Record& record)
+{
+    for (const auto& [part, member] : record.members) {
+        if (!member.isAcquitted)
+            this->closeMember(part);
+    }
+}
+
 std::vector<PartCrash> PromptPartRegistry::suspectGeneration(std::string_view generation)
 {
     std::vector<PartCrash> raised;
@@ -139,7 +204,7 @@
 
 bool PromptPartRegistry::withdrawGeneration(std::string_view generation)
 {
-    return std::erase_if(this->records, [generation](const auto& entry) {
+    return this->removeRecords([generation](const auto& entry) {
         return entry.second.certainty == CrashCertainty::Possible
             && SuspectRegistry::generationOf(entry.first) == generation;
     }) > 0;
@@ -174,7 +239,10 @@
             continue;
         }
         first->second.members.merge(next->second.members);
+        this->closeMembers(next->second);
         next = this->records.erase(next);
+        if (first->second.members.size() > maximumMembers)
+            this->trimMembers(first->first, first->second);
     }
 }
 
@@ -185,15 +253,22 @@
     if (now >= this->nextExpiry || this->lastCompletions.size() >= maximumCompletions)
         this->removeExpired();
     std::vector<PromptPart> suspected;
+    std::size_t newCount = 0;
     for (const PromptPart part : parts) {
-        TimePoint& last = this->lastCompletions[part];
-        last = std::max(last, time);
+        const bool isOpen = this->openCounts.contains(part);
+        const auto last = this->lastCompletions.find(part);
+        if (last != this->lastCompletions.end())
+            last->second = std::max(last->second, time);
+        else if (isOpen || newCount++ < maximumNewCompletions)
+            this->lastCompletions.emplace(part, time);
+        if (!isOpen)
+            continue;
         bool isSuspected = false;
         for (auto& [name, record] : this->records) {
             const auto member = record.members.find(part);
             if (member == record.members.end() || member->second.isAcquitted || record.aliveAt >= time)
                 continue;
-            member->second.isAcquitted = true;
+            this->acquit(part, member->second);
             isSuspected = true;
         }
         if (isSuspected)
@@ -207,10 +282,15 @@
 {
     if (parts.empty() || this->records.empty())
         return nullptr;
+    std::vector<PromptPart> sorted;
     for (const CrashCandidate& candidate : this->candidates()) {
         if (candidate.verdict != AttributionVerdict::Cause)
             break;
-        if (this->isInForce(candidate) && containsAll(parts, candidate.parts))
+        if (sorted.empty()) {
+            sorted.assign(parts.begin(), parts.end());
+            std::ranges::sort(sorted);
+        }
+        if (this->isInForce(candidate) && std::ranges::includes(sorted, candidate.parts))
             return &candidate;
     }
     return nullptr;
@@ -248,6 +328,14 @@
     }
     for (PartCrash& crash : all)
         std::erase_if(crash.parts, [&](PromptPart part) { return countByPart.at(part) < minimumCount; });
+    for (PartCrash& crash : all) {
+        if (crash.parts.size() <= maximumStoredParts)
+            continue;
+        std::ranges::stable_sort(
+            crash.parts, std::ranges::greater(), [&](PromptPart part) { return countByPart.at(part); });
+        crash.parts.resize(maximumStoredParts);
+        std::ranges::sort(crash.parts);
+    }
     std::erase_if(all, [](const PartCrash& crash) { return crash.parts.empty(); });
     return all;
 }
@@ -317,7 +405,7 @@
 {
     const TimePoint now = this->clock.now();
     this->nextExpiry = now + expiryInterval;
-    std::erase_if(this->records,
+    this->removeRecords(
         [&](const auto& entry) { return !this->isValid(entry.second) || now - entry.second.lastNoticeAt >= lifetime; });
     std::erase_if(this->lastCompletions, [now](const auto& entry) { return now - entry.second >= completionLifetime; });
     if (this->lastCompletions.size() < maximumCompletions)
@@ -354,7 +442,9 @@
         const int order = isExplained ? (counts[cause] > sufficientCrashes ? 0 : 2) : 1;
         return std::tuple(order, record.certainty != CrashCertainty::Possible, record.lastNoticeAt);
     };
-    this->records.erase(std::ranges::min_element(this->records, {}, rank));
+    const auto removed = std::ranges::min_element(this->records, {}, rank);
+    this->closeMembers(removed->second);
+    this->records.erase(removed);
     this->isOutdated = true;
 }
 
--- a/src/libs/quarantine/promptpartregistry.h
+++ b/src/libs/quarantine/promptpartregistry.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Quarantine {
@@ -78,7 +79,10 @@
     /** Returns all crashes with the parts that still count, to be sent to processes that start. */
     std::vector<PartCrash> crashes() const;
 
-    /** Returns the crashes against which a part occurs that has at least so many of them, with these parts only. */
+    /**
+     * Returns the crashes against which a part occurs that has at least so many of them, with these parts only. Of very
+     * many parts, those with the most crashes are returned.
+     */
     std::vector<PartCrash> repeatedCrashes(std::size_t minimumCount) const;
 
     /** Returns the recent completions of parts that occur in recorded crashes. */
@@ -107,6 +111,22 @@
     using Records = std::map<std::string, Record, std::less<>>;
 
     bool addMember(Record& record, PromptPart part, const PartCrash& crash);
+    void acquit(PromptPart part, Member& member);
+    /** Removes the members that say least of the cause until the record is no longer too large. */
+    void trimMembers(std::string_view name, Record& record);
+    /** Counts one member of a part less as open. */
+    void closeMember(PromptPart part);
+    /** The same for all members of a record that is about to be removed. */
+    void closeMembers(const Record& record);
+    template <typename Predicate> std::size_t removeRecords(const Predicate& isRemoved)
+    {
+        return std::erase_if(this->records, [&](const auto& entry) {
+            const bool mustGo = isRemoved(entry);
+            if (mustGo)
+                this->closeMembers(entry.second);
+            return mustGo;
+        });
+    }
     bool raise(Record& record, CrashCertainty certainty, Foundation::TimePoint detectedAt);
     bool isValid(const Record& record) const;
     bool counts(const Record& record) const;
@@ -127,6 +147,8 @@
     PartPopularity popularity;
     /** By name of the crash. */
     Records records;
+    /** The number of records in which a part is a member that is not acquitted. */
+    std::unordered_map<PromptPart, std::size_t> openCounts;
     /** When requests with a part last ran to their end; only recent ones. */
     std::map<PromptPart, Foundation::TimePoint> lastCompletions;
     Foundation::TimePoint nextExpiry {};
--- a/tests/auto/quarantine/tst_promptpartregistry.cpp
+++ b/tests/auto/quarantine/tst_promptpartregistry.cpp
@@ -377,6 +377,50 @@
     CHECK_TRUE(this->isRefused({ cause }));
 }
 
+// Guards against a cause that is displaced by the parts of the other requests that ran at the same crash.
+TEST(PromptPartRegistry, aCauseIsFoundBesideRequestsWithHundredsOfOtherParts)
+{
+    constexpr int requestCount = 12;
+    constexpr int partCount = 300;
+    PromptPart unique = 1'000;
+    for (int i = 0; i < 4; ++i) {
+        this->clock.advance(1s);
+        const std::string generation = this->nextGeneration();
+        for (int j = 0; j < requestCount; ++j) {
+            std::vector<PromptPart> parts;
+            for (int k = 0; k < partCount; ++k)
+                parts.push_back(++unique);
+            if (j == 0)
+                parts.push_back(cause);
+            this->clock.advance(1ms);
+            const Foundation::TimePoint now = this->clock.now();
+            this->registry.record({ generation, CrashCertainty::Suspected, now - 100ms, now, std::move(parts) });
+        }
+    }
+    CHECK_TRUE(this->isRefused({ cause }));
+}
+
+// Guards against memory and time that grow with the lists of hostile callers.
+TEST(PromptPartRegistry, theLongestListsAtManyCrashesAreBoundedAndDoNotHideACause)
+{
+    constexpr int partCount = 4'096;
+    PromptPart unique = 1'000;
+    for (int i = 0; i < 100; ++i) {
+        std::vector<PromptPart> parts;
+        for (int j = 1; j < partCount; ++j)
+            parts.push_back(++unique);
+        if (i % 4 == 0)
+            parts.push_back(cause);
+        this->crash(parts, CrashCertainty::Confirmed);
+        this->complete({ parts.begin(), parts.begin() + partCount / 2 });
+    }
+    std::size_t memberCount = 0;
+    for (const PartCrash& crash : this->registry.crashes())
+        memberCount += crash.parts.size();
+    CHECK_TRUE(memberCount <= 131'072);
+    CHECK_TRUE(this->isRefused({ first, cause }));
+}
+
 TEST(PromptPartRegistry, aSnapshotBringsAnotherProcessToTheSameDecision)
 {
     for (int i = 0; i < 4; ++i)
