Accept keys at a start only if the store's copy is known to be current

Cause: a process took the first era of the store that it saw as current.

Change: StoreCache::StartCheck. The newest settled era is recorded in the topic of addresses, by the first gateways of a deployment in the call that writes their address, later by a gateway that has settled. A process that starts accepts keys at once if the record names the store's era, or if the first era lists no gateway. Gateways tell the version in force with their records; keys of an older document are not accepted.

--- a/src/apps/gateway/storesynchronizer.cpp
+++ b/src/apps/gateway/storesynchronizer.cpp
@@ -7,6 +7,7 @@
 #include "platform/upstreamdecoder.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace Gateway {
 
@@ -57,6 +58,8 @@
 // After the store has come back from an older copy, the operator and the upstreams write again what the copy lacks.
 // Until then evacuations stay as they were, and reads do not prove that a key is still valid.
 constexpr Duration eraSettleTime = expiredEntryGrace;
+// Gateways record a settled era one after another with this delay, so that usually one of a failure domain does.
+constexpr Duration eraRecordDelay = std::chrono::seconds(2);
 // Spreads what the gateways write again.
 constexpr Duration maximumRewriteDelay = std::chrono::milliseconds(800);
 // No entry expires in an outage shorter than this.
@@ -127,6 +130,7 @@
         if (record.value || !this->isMergingCopy)
             this->handlers.onSuspectRecord(record);
     })
+    , startCheck(eraSettleTime)
     , policyCell(nullptr)
     , upstreamDirectory([this](UpstreamDirectory::Change change, const Membership::Upstream& upstream) {
         this->onUpstreamChange(change, upstream);
@@ -189,7 +193,10 @@
 void StoreSynchronizer::tick()
 {
     const TimePoint now = this->clock.now();
+    this->endStartWait();
+    this->confirmRead();
     this->registerSelf();
+    this->recordSettledEra();
     for (Follower* const follower : this->followers()) {
         if (this->isDue(*follower))
             this->read(*follower);
@@ -244,10 +251,47 @@
     this->isRegistrationPending = true;
     this->nextRegistration = now + initialRetryDelay * 4;
     const auto& node = this->settings.node;
-    const std::array<KeyedRecord, 1> record { { { node.name, node.peerEndpoint.text(), 0 } } };
-    this->store.append(PlatformAdapter::Topic::peers, record, [this](bool isDone) {
-        this->isRegistrationPending = false;
-        this->isRegistered = isDone;
+    std::vector<KeyedRecord> records { { node.name, node.peerEndpoint.text() } };
+    // The first gateways of a deployment record the era with their addresses, which saves a call.
+    const bool recordsEra = this->settledEra < this->era && !this->isPossiblyOldCopy();
+    if (recordsEra)
+        records.push_back({ std::string(PlatformAdapter::settledEraKey), std::to_string(this->era) });
+    this->isSettledEraPending = this->isSettledEraPending || recordsEra;
+    this->store.append(
+        PlatformAdapter::Topic::peers, records, [this, recordsEra, recordedEra = this->era](bool isDone) {
+            this->isRegistrationPending = false;
+            this->isRegistered = isDone;
+            if (!recordsEra)
+                return;
+            this->isSettledEraPending = false;
+            if (isDone)
+                this->settledEra = std::max(this->settledEra, recordedEra);
+        });
+}
+
+void StoreSynchronizer::recordSettledEra()
+{
+    const TimePoint now = this->clock.now();
+    const bool isRecorded = this->settledEra >= this->era;
+    if (isRecorded || !this->peerFollower.isListed || this->isPossiblyOldCopy()) {
+        this->nextEraRecord.reset();
+        return;
+    }
+    if (!this->nextEraRecord) {
+        const std::size_t rank = std::min(this->handlers.domainRank(), maximumRankDelays);
+        this->nextEraRecord = now + static_cast<int>(rank) * eraRecordDelay;
+    }
+    if (this->isSettledEraPending || now < *this->nextEraRecord)
+        return;
+    this->isSettledEraPending = true;
+    this->nextEraRecord = now + eraRecordDelay;
+    const std::array<KeyedRecord, 1> record {
+        { { std::string(PlatformAdapter::settledEraKey), std::to_string(this->era) } }
+    };
+    this->store.append(PlatformAdapter::Topic::peers, record, [this, recordedEra = this->era](bool isDone) {
+        this->isSettledEraPending = false;
+        if (isDone)
+            this->settledEra = std::max(this->settledEra, recordedEra);
     });
 }
 
@@ -272,6 +316,8 @@
             follower.records->mergeListing(
                 std::move(listing.value().records), listing.value().end, listing.value().era);
             this->isMergingCopy = false;
+            if (&follower == &this->peerFollower)
+                this->startCheck.recordListing(this->era, this->settledEra, !this->peerAddresses.empty());
             follower.publishedEnd = follower.records->end();
             this->onRead(follower, sent, {});
         });
@@ -303,14 +349,50 @@
 {
     follower.isReading = false;
     follower.nextRead = this->clock.now() + follower.pollInterval;
-    if (&follower == &this->operatorFollower && !this->isSettling())
-        this->freshness.recordCurrentAsOf(std::min(sent + holdTime, this->bootClock.now()));
+    if (&follower == &this->operatorFollower) {
+        this->startCheck.recordRead(this->clock.now());
+        if (!this->isSettling())
+            this->unconfirmedRead = std::min(sent + holdTime, this->bootClock.now());
+    }
+    this->confirmRead();
     // Every gateway reads the auxiliary topics when it starts.
     if (!follower.isAuxiliary || follower.records->end() > follower.publishedEnd)
         this->sendToDomainPeers();
     this->tick();
 }
 
+bool StoreSynchronizer::isPossiblyOldCopy() const
+{
+    return this->isSettling() || (this->era > 0 && !this->startCheck.isCurrent(this->clock.now()));
+}
+
+void StoreSynchronizer::confirmRead()
+{
+    if (!this->unconfirmedRead || (this->era > 0 && this->startCheck.isUndecided()))
+        return;
+    if (!this->isPossiblyOldCopy())
+        this->freshness.recordCurrentAsOf(*this->unconfirmedRead);
+    this->unconfirmedRead.reset();
+}
+
+void StoreSynchronizer::endStartWait()
+{
+    const bool isWaiting = this->era > 0 && this->startCheck.isWaiting(this->clock.now());
+    const bool wasWaiting = std::exchange(this->wasWaitingAtStart, isWaiting);
+    if (wasWaiting == isWaiting)
+        return;
+    logEvent(Event::StoreEraChanged, "",
+        "era=" + std::to_string(this->era) + " settled=" + std::to_string(this->settledEra)
+            + (isWaiting ? " start=waits" : " start=current"));
+    if (isWaiting)
+        return;
+    // A read that the store holds would prove that the keys are current only when its wait is over.
+    ++this->operatorFollower.readGeneration;
+    this->operatorFollower.isReading = false;
+    this->operatorFollower.isListed = false;
+    this->operatorFollower.nextRead = this->clock.now();
+}
+
 void StoreSynchronizer::beginEra(std::uint64_t newEra)
 {
     if (newEra <= this->era)
@@ -323,6 +405,9 @@
         follower->records->beginEra(newEra);
     if (isFirst)
         return;
+    // This process has seen the era begin, so it settles like all that run.
+    this->startCheck.recordSettled();
+    this->unconfirmedRead.reset();
     const Duration delay = std::chrono::milliseconds(
         Foundation::randomBelow(static_cast<std::uint64_t>(Foundation::toMilliseconds(maximumRewriteDelay))));
     logEvent(Event::StoreEraChanged, "",
@@ -469,7 +554,9 @@
 void StoreSynchronizer::onFailure(Follower& follower, std::string_view reason)
 {
     follower.isReading = false;
-    const bool isReader = !follower.isAuxiliary && this->handlers.domainRank() < outageReaderCount;
+    // Keys are not accepted before the gateways are listed.
+    const bool isNeededAtStart = &follower == &this->peerFollower && !follower.isListed;
+    const bool isReader = (!follower.isAuxiliary || isNeededAtStart) && this->handlers.domainRank() < outageReaderCount;
     follower.nextRead = this->clock.now()
         + Foundation::exponentialBackoff(
             initialRetryDelay, isReader ? maximumReaderRetryDelay : maximumRetryDelay, ++follower.consecutiveFailures);
@@ -487,7 +574,9 @@
     };
     // In a grace period, a gateway that reached the store all the while can end it.
     const bool isInGrace = now < this->upstreamDirectory.graceEnd();
-    const bool isNeeded = isInGrace || isOverdue(this->operatorFollower) || isOverdue(this->upstreamFollower);
+    const bool isWaiting = this->era > 0 && this->startCheck.isWaiting(now);
+    const bool isNeeded
+        = isWaiting || isInGrace || isOverdue(this->operatorFollower) || isOverdue(this->upstreamFollower);
     if (!isNeeded || now < this->nextQuery)
         return;
     this->nextQuery = now + peerQueryInterval;
@@ -499,6 +588,9 @@
     if (!reply.hasCachedState || reply.era < this->era)
         return;
     this->beginEra(reply.era);
+    this->peerPolicyVersion = std::max(this->peerPolicyVersion, reply.policyVersion);
+    if (reply.isSettled)
+        this->startCheck.recordSettled();
     const std::uint64_t endBefore = this->operatorRecords.end();
     const TimePoint now = this->clock.now();
     this->applyPeerOutage(reply);
@@ -529,7 +621,7 @@
     recordAge(this->upstreamFollower, reply.upstreamAgeMs);
     this->applyPart(this->suspectFollower, reply.suspects, reply.era);
     this->applyPart(this->peerFollower, reply.peers, reply.era);
-    if (!this->isSettling())
+    if (!this->isPossiblyOldCopy())
         this->freshness.recordCurrentAsOf(
             this->bootClock.now() - networkDelayAllowance - std::chrono::milliseconds(reply.operatorAgeMs));
     this->metrics.counter("bluebell_knowledge_from_peers_total").fetch_add(1);
@@ -548,6 +640,8 @@
         return reply;
     // Offsets of another era say nothing here, so the sender gets all records.
     reply.era = this->era;
+    reply.isSettled = !this->isPossiblyOldCopy();
+    reply.policyVersion = this->policy() ? this->policy()->version() : 0;
     reply.operatorFrom = query.era == this->era ? query.operatorEnd : 0;
     reply.upstreamFrom = query.era == this->era ? query.upstreamEnd : 0;
     reply.operatorRecords = this->operatorRecords.recordsFrom(reply.operatorFrom);
@@ -568,7 +662,8 @@
 bool StoreSynchronizer::canAcceptKeys() const
 {
     const auto age = this->cacheAge();
-    return age
+    const auto current = this->policy();
+    return age && (!current || current->version() >= this->peerPolicyVersion)
         && Foundation::toSeconds(*age)
         <= keyAgeFraction * Foundation::toSeconds(this->settings.node.keyRevocationLimit);
 }
@@ -657,6 +752,18 @@
 
 void StoreSynchronizer::onPeerRecord(const KeyedRecord& record)
 {
+    if (record.key == PlatformAdapter::settledEraKey) {
+        const std::string text = record.value.value_or("");
+        std::uint64_t recorded = 0;
+        const char* const end = text.data() + text.size();
+        if (std::from_chars(text.data(), end, recorded).ptr != end)
+            logEvent(Event::EntryIgnored, "", "key=" + record.key + " offset=" + std::to_string(record.offset));
+        else
+            this->settledEra = std::max(this->settledEra, recorded);
+        if (this->era > 0 && this->settledEra >= this->era)
+            this->startCheck.recordSettled();
+        return;
+    }
     if (record.value)
         this->peerAddresses[record.key] = *record.value;
     else
--- a/src/apps/gateway/storesynchronizer.h
+++ b/src/apps/gateway/storesynchronizer.h
@@ -8,6 +8,7 @@
 #include <membership/upstreamdirectory.h>
 #include <policy/trafficpolicy.h>
 #include <storecache/freshness.h>
+#include <storecache/startcheck.h>
 #include <storecache/topiccache.h>
 #include <wire/messages.h>
 
@@ -17,6 +18,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Gateway {
@@ -137,6 +139,14 @@
     bool isSettling() const;
     /** Starts the time in which the writers of a topic write again, once its older copy is read. */
     void beginSettling(const Follower& follower);
+    /** Returns whether what was read of the store may lack something that it has acknowledged. */
+    bool isPossiblyOldCopy() const;
+    /** Takes what was read of the operator's topic as current, once the copy that this process started from is. */
+    void confirmRead();
+    /** Reads the operator's topic again when this process no longer waits for its writers. */
+    void endStartWait();
+    /** Records the era as settled in the store if no gateway has done so. */
+    void recordSettledEra();
     void queryPeerIfDue();
     bool isDue(const Follower& follower) const;
     void sendToDomainPeers();
@@ -174,6 +184,17 @@
     /** Whether the records that are merged may be from an older copy of the store. */
     bool isMergingCopy = false;
     bool isEvacuationUpdatePending = false;
+    StoreCache::StartCheck startCheck;
+    bool wasWaitingAtStart = false;
+    /** As of when the operator's records are complete, if the copy that this process started from is current. */
+    std::optional<Foundation::TimePoint> unconfirmedRead;
+    /** The newest era that is recorded in the store as settled. */
+    std::uint64_t settledEra = 0;
+    bool isSettledEraPending = false;
+    /** When this process may record the era; none while the era is not settled or is recorded. */
+    std::optional<Foundation::TimePoint> nextEraRecord;
+    /** The highest version that a peer has in force; keys of an older document are not accepted. */
+    std::int64_t peerPolicyVersion = 0;
     StoreCache::Freshness freshness;
     Foundation::RcuCell<Policy::TrafficPolicy> policyCell;
     Membership::UpstreamDirectory upstreamDirectory;
--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -614,6 +614,8 @@
     visitor("currentFor", reply.upstreamCurrentForMs);
     visitor("away", reply.upstreamAwayMs);
     visitor("era", reply.era);
+    visitor("settled", reply.isSettled);
+    visitor("version", reply.policyVersion);
     visitor("suspects", reply.suspects.records);
     visitor("suspectFrom", reply.suspects.from);
     visitor("suspectEnd", reply.suspects.end);
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -306,6 +306,10 @@
     std::int64_t upstreamAwayMs = 0;
     /** The era of the store to which the offsets belong; single records may be of earlier ones. */
     std::uint64_t era = 0;
+    /** Whether the writers had time to write again what the store lost when the era began. */
+    bool isSettled = false;
+    /** The version of the document that is in force at the sender; 0 if there is none. */
+    std::int64_t policyVersion = 0;
     /** Sent within a failure domain only. */
     TopicPart suspects;
     TopicPart peers;
--- a/tests/auto/gateway/tst_storesynchronizer.cpp
+++ b/tests/auto/gateway/tst_storesynchronizer.cpp
@@ -29,6 +29,7 @@
 {
     Wire::StoreCacheReply update;
     update.hasCachedState = true;
+    update.isSettled = true;
     update.operatorFrom = from;
     update.operatorEnd = end;
     update.operatorRecords = std::move(records);
