Count the age of a peer's records from when they were sent

Cause: StoreSynchronizer::onReply() took an update as sent when it was read. A gateway that had been frozen, or whose connection had been interrupted, took old updates as current and accepted keys by them.

Change: replies name the time on the sender's boot clock. An answer is as old as its query, whose time it returns. Ages of the auxiliary topics and outages are counted in the same way. Updates of earlier versions, without a time, count as before.

Measured: two new tests in tst_storesynchronizer.cpp (a freeze of 10 s and of 9 s) failed before; keys were accepted by an update that was 9 s old.

--- a/src/apps/gateway/storesynchronizer.cpp
+++ b/src/apps/gateway/storesynchronizer.cpp
@@ -130,6 +130,7 @@
         if (record.value || !this->isMergingCopy)
             this->handlers.onSuspectRecord(record);
     })
+    , incarnation(Foundation::makeIdentifier())
     , startCheck(eraSettleTime)
     , policyCell(nullptr)
     , upstreamDirectory([this](UpstreamDirectory::Change change, const Membership::Upstream& upstream) {
@@ -475,7 +476,8 @@
     return part;
 }
 
-void StoreSynchronizer::applyPart(Follower& follower, Wire::StoreCacheReply::TopicPart part, std::uint64_t partEra)
+void StoreSynchronizer::applyPart(
+    Follower& follower, Wire::StoreCacheReply::TopicPart part, std::uint64_t partEra, TimePoint sent)
 {
     const std::int64_t longestAgeMs
         = Foundation::toMilliseconds(follower.longPoll + follower.pollInterval + passOnTimeout);
@@ -485,8 +487,8 @@
         return;
     follower.records->mergeRange(std::move(part.records), part.end, partEra);
     follower.publishedEnd = std::max(follower.publishedEnd, follower.records->end());
-    follower.lastPassedOn = this->clock.now();
-    recordCurrent(follower, this->clock.now() - std::chrono::milliseconds(part.ageMs));
+    follower.lastPassedOn = std::max(follower.lastPassedOn, sent);
+    recordCurrent(follower, sent - std::chrono::milliseconds(part.ageMs));
 }
 
 void StoreSynchronizer::recordSuccess(Follower& follower)
@@ -524,22 +526,22 @@
     follower.lastCurrent = asOf;
 }
 
-void StoreSynchronizer::applyPeerOutage(const Wire::StoreCacheReply& reply)
+void StoreSynchronizer::applyPeerOutage(const Wire::StoreCacheReply& reply, TimePoint sent)
 {
     const TimePoint now = this->clock.now();
     const Follower& follower = this->upstreamFollower;
     if (reply.graceMs > 0) {
-        const TimePoint peerAwaySince = now - std::chrono::milliseconds(reply.upstreamAwayMs);
+        const TimePoint peerAwaySince = sent - std::chrono::milliseconds(reply.upstreamAwayMs);
         const bool wasServed
             = reply.upstreamAwayMs > 0 && follower.currentSince <= peerAwaySince && !isGap(follower, now);
         if (!wasServed)
-            this->upstreamDirectory.extendGracePeriod(now + std::chrono::milliseconds(reply.graceMs));
+            this->upstreamDirectory.extendGracePeriod(sent + std::chrono::milliseconds(reply.graceMs));
         return;
     }
     if (!follower.awaySince || now >= this->upstreamDirectory.graceEnd())
         return;
-    const TimePoint peerCurrentSince = now - std::chrono::milliseconds(reply.upstreamCurrentForMs);
-    const TimePoint peerCurrentUntil = now - std::chrono::milliseconds(reply.upstreamAgeMs);
+    const TimePoint peerCurrentSince = sent - std::chrono::milliseconds(reply.upstreamCurrentForMs);
+    const TimePoint peerCurrentUntil = sent - std::chrono::milliseconds(reply.upstreamAgeMs);
     const bool wasPeerServed = peerCurrentSince <= *follower.awaySince
         && peerCurrentUntil + minimumOutage + follower.pollInterval >= follower.currentSince;
     if (!wasPeerServed)
@@ -580,11 +582,29 @@
     if (!isNeeded || now < this->nextQuery)
         return;
     this->nextQuery = now + peerQueryInterval;
-    this->handlers.queryPeer({ this->operatorRecords.end(), this->upstreamRecords.end(), this->era });
+    this->handlers.queryPeer(this->makeQuery());
+}
+
+Wire::StoreCacheQuery StoreSynchronizer::makeQuery() const
+{
+    return { this->operatorRecords.end(), this->upstreamRecords.end(), this->era,
+        Foundation::toMilliseconds(this->bootClock.now().time_since_epoch()) };
+}
+
+std::optional<TimePoint> StoreSynchronizer::sendTimeOf(const Wire::StoreCacheReply& reply)
+{
+    const TimePoint now = this->bootClock.now();
+    if (reply.sender.empty())
+        return now;
+    const auto sent = this->transits.record(reply.sender, TimePoint(std::chrono::milliseconds(reply.sentMs)), now);
+    const TimePoint querySent { std::chrono::milliseconds(reply.querySentMs) };
+    // An answer was sent after its query, and usually within a ms.
+    return reply.querySentMs > 0 && querySent <= now ? querySent : sent;
 }
 
 void StoreSynchronizer::onReply(const Wire::StoreCacheReply& reply)
 {
+    const std::optional<TimePoint> sendTime = this->sendTimeOf(reply);
     if (!reply.hasCachedState || reply.era < this->era)
         return;
     this->beginEra(reply.era);
@@ -593,12 +613,13 @@
         this->startCheck.recordSettled();
     const std::uint64_t endBefore = this->operatorRecords.end();
     const TimePoint now = this->clock.now();
-    this->applyPeerOutage(reply);
+    const TimePoint sent = now - (sendTime ? this->bootClock.now() - *sendTime : Duration::zero());
+    this->applyPeerOutage(reply, sent);
     // This gateway missed an update if it was not connected at the time. Merging a later one would mark the missed
     // records as read, so the whole range is queried instead.
     if (reply.operatorFrom > endBefore || reply.upstreamFrom > this->upstreamRecords.end()) {
         this->nextQuery = now + peerQueryInterval;
-        this->handlers.queryPeer({ endBefore, this->upstreamRecords.end(), this->era });
+        this->handlers.queryPeer(this->makeQuery());
         return;
     }
     this->isMergingCopy = this->upstreamFollower.isCopyUnread;
@@ -613,17 +634,18 @@
     this->isMergingCopy = false;
     this->upstreamChanges.resize(ownChangeCount);
     this->upstreamEndPublished = this->upstreamRecords.end();
-    const auto recordAge = [now](Follower& follower, std::int64_t peerAgeMs) {
+    const auto recordAge = [&](Follower& follower, std::int64_t peerAgeMs) {
         follower.isListed = true;
-        recordCurrent(follower, now - std::chrono::milliseconds(peerAgeMs));
+        if (sendTime)
+            recordCurrent(follower, sent - std::chrono::milliseconds(peerAgeMs));
     };
     recordAge(this->operatorFollower, reply.operatorAgeMs);
     recordAge(this->upstreamFollower, reply.upstreamAgeMs);
-    this->applyPart(this->suspectFollower, reply.suspects, reply.era);
-    this->applyPart(this->peerFollower, reply.peers, reply.era);
-    if (!this->isPossiblyOldCopy())
+    applyPart(this->suspectFollower, reply.suspects, reply.era, sent);
+    applyPart(this->peerFollower, reply.peers, reply.era, sent);
+    if (sendTime && !this->isPossiblyOldCopy())
         this->freshness.recordCurrentAsOf(
-            this->bootClock.now() - networkDelayAllowance - std::chrono::milliseconds(reply.operatorAgeMs));
+            *sendTime - networkDelayAllowance - std::chrono::milliseconds(reply.operatorAgeMs));
     this->metrics.counter("bluebell_knowledge_from_peers_total").fetch_add(1);
     if (reply.operatorEnd > endBefore)
         logEvent(Event::KnowledgeFromPeer, "",
@@ -639,6 +661,9 @@
     if (!reply.hasCachedState)
         return reply;
     // Offsets of another era say nothing here, so the sender gets all records.
+    reply.sender = this->incarnation;
+    reply.sentMs = Foundation::toMilliseconds(this->bootClock.now().time_since_epoch());
+    reply.querySentMs = query.sentMs;
     reply.era = this->era;
     reply.isSettled = !this->isPossiblyOldCopy();
     reply.policyVersion = this->policy() ? this->policy()->version() : 0;
--- a/src/apps/gateway/storesynchronizer.h
+++ b/src/apps/gateway/storesynchronizer.h
@@ -10,6 +10,7 @@
 #include <storecache/freshness.h>
 #include <storecache/startcheck.h>
 #include <storecache/topiccache.h>
+#include <storecache/transitclock.h>
 #include <wire/messages.h>
 
 #include "platform/storeclient.h"
@@ -132,7 +133,14 @@
     static void recordCurrent(Follower& follower, Foundation::TimePoint asOf);
     static bool isGap(const Follower& follower, Foundation::TimePoint asOf);
     /** Starts or ends the grace period for missing upstreams by what another gateway says of the same time. */
-    void applyPeerOutage(const Wire::StoreCacheReply& reply);
+    void applyPeerOutage(const Wire::StoreCacheReply& reply, Foundation::TimePoint sent);
+    /**
+     * Returns when a reply was sent, on the boot clock, and not later than it was; none if that is unknown. A reply may
+     * be read long after that, for instance when this process was frozen.
+     */
+    std::optional<Foundation::TimePoint> sendTimeOf(const Wire::StoreCacheReply& reply);
+    /** Returns a query for what this process lacks. */
+    Wire::StoreCacheQuery makeQuery() const;
     /** Reads all topics again, and keeps what is known until the operator and the upstreams have written again. */
     void beginEra(std::uint64_t newEra);
     /** Returns whether the store has come back from an older copy so recently that records may be missing there. */
@@ -152,8 +160,9 @@
     void sendToDomainPeers();
     /** Returns the records of an auxiliary topic that the domain peers have not been sent. */
     Wire::StoreCacheReply::TopicPart takeUnpublished(Follower& follower) const;
-    /** Merges what the reader of the failure domain has read of an auxiliary topic. */
-    void applyPart(Follower& follower, Wire::StoreCacheReply::TopicPart part, std::uint64_t partEra);
+    /** Merges what the reader of the failure domain has read of an auxiliary topic. @param sent when it was sent. */
+    static void applyPart(
+        Follower& follower, Wire::StoreCacheReply::TopicPart part, std::uint64_t partEra, Foundation::TimePoint sent);
     static std::int64_t ageMs(const Follower& follower, Foundation::TimePoint now);
     void registerSelf();
 
@@ -184,6 +193,9 @@
     /** Whether the records that are merged may be from an older copy of the store. */
     bool isMergingCopy = false;
     bool isEvacuationUpdatePending = false;
+    /** Identifies this process in replies. */
+    std::string incarnation;
+    StoreCache::TransitClock transits;
     StoreCache::StartCheck startCheck;
     bool wasWaitingAtStart = false;
     /** As of when the operator's records are complete, if the copy that this process started from is current. */
--- a/src/libs/wire/codec.cpp
+++ b/src/libs/wire/codec.cpp
@@ -597,6 +597,7 @@
     visitor("operator", query.operatorEnd);
     visitor("upstreams", query.upstreamEnd);
     visitor("era", query.era);
+    visitor("sent", query.sentMs);
 }
 
 template <typename V> void visit(V&& visitor, MessageOf<StoreCacheReply> auto& reply)
@@ -616,6 +617,9 @@
     visitor("era", reply.era);
     visitor("settled", reply.isSettled);
     visitor("version", reply.policyVersion);
+    visitor("sender", reply.sender);
+    visitor("sent", reply.sentMs);
+    visitor("querySent", reply.querySentMs);
     visitor("suspects", reply.suspects.records);
     visitor("suspectFrom", reply.suspects.from);
     visitor("suspectEnd", reply.suspects.end);
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -269,6 +269,8 @@
     std::uint64_t upstreamEnd = 0;
     /** The era of the store to which these offsets belong. */
     std::uint64_t era = 0;
+    /** When it was sent, in ms on the sender's boot clock. */
+    std::int64_t sentMs = 0;
 };
 
 /** Records from the store cache of a gateway: the response to a query, or records that the gateway has just read. */
@@ -310,6 +312,12 @@
     bool isSettled = false;
     /** The version of the document that is in force at the sender; 0 if there is none. */
     std::int64_t policyVersion = 0;
+    /** Differs between processes and their restarts; empty if the sender does not name the time. */
+    std::string sender;
+    /** When it was sent, in ms on the sender's boot clock. */
+    std::int64_t sentMs = 0;
+    /** When the query that it answers was sent, in ms on the receiver's boot clock; 0 if it answers none. */
+    std::int64_t querySentMs = 0;
     /** Sent within a failure domain only. */
     TopicPart suspects;
     TopicPart peers;
--- a/tests/auto/gateway/tst_storesynchronizer.cpp
+++ b/tests/auto/gateway/tst_storesynchronizer.cpp
@@ -143,6 +143,48 @@
     CHECK_FALSE(this->synchronizer.canAcceptKeys());
 }
 
+// A gateway that had been frozen accepted keys by updates that were sent before.
+TEST(StoreSynchronizerTest, anUpdateThatIsReadAfterAFreezeIsAsOldAsItsSendTime)
+{
+    Wire::StoreCacheReply update = makeUpdate(0, 3, { { "config", R"({"version": 4})", 2 } });
+    update.sender = "peer";
+    const auto receive = [&](std::int64_t sentMs) {
+        update.sentMs = sentMs;
+        update.operatorAgeMs = 1;
+        this->synchronizer.onReply(update);
+    };
+    receive(7'000);
+    this->advance(1s);
+    receive(8'000);
+    CHECK_TRUE(this->synchronizer.cacheAge() < 100ms);
+    this->advance(10s);
+    receive(9'000);
+    CHECK_TRUE(this->synchronizer.cacheAge() >= 8'900ms);
+    CHECK_FALSE(this->synchronizer.canAcceptKeys());
+    receive(18'000);
+    CHECK_TRUE(this->synchronizer.cacheAge() < 100ms);
+}
+
+TEST(StoreSynchronizerTest, anAnswerThatIsReadAfterAFreezeIsAsOldAsItsQuery)
+{
+    this->synchronizer.start();
+    this->advance(10s);
+    this->synchronizer.tick();
+    Wire::StoreCacheReply answer = makeUpdate(0, 3, { { "config", R"({"version": 4})", 2 } });
+    answer.sender = "peer";
+    answer.operatorAgeMs = 1;
+    answer.querySentMs = this->queries.back().sentMs;
+    this->synchronizer.onReply(answer);
+    CHECK_TRUE(this->synchronizer.cacheAge() < 100ms);
+    this->advance(1s);
+    this->synchronizer.tick();
+    answer.querySentMs = this->queries.back().sentMs;
+    this->advance(9s);
+    this->synchronizer.onReply(answer);
+    CHECK_TRUE(this->synchronizer.cacheAge() >= 9s);
+    CHECK_FALSE(this->synchronizer.canAcceptKeys());
+}
+
 TEST(StoreSynchronizerTest, anUpdateAfterAGapIsQueriedAgain)
 {
     this->synchronizer.onReply(makeUpdate(0, 3, { { "config", R"({"version": 4})", 2 } }));
