Ignore SIGHUP until the gateway has a handler for it

Cause: a SIGHUP that arrived while the process read its settings and started, within about 11 ms, ended it, since no handler was installed.

Change: main() ignores SIGHUP first. The settings file is read again each second, so a change is not missed. A SIGHUP before main(), while the program is loaded, still ends the process.

--- a/src/apps/gateway/main.cpp
+++ b/src/apps/gateway/main.cpp
@@ -1,6 +1,7 @@
 #include "gatewaycore.h"
 
 #include <application/commandline.h>
+#include <application/hangup.h>
 #include <application/processend.h>
 #include <application/runwithsettings.h>
 #include <application/signalwatch.h>
@@ -139,6 +140,7 @@
 
 int main(int argc, char** argv)
 {
+    Application::ignoreHangup();
     Application::parseCommandLine("HTTP gateway that forwards requests directly to upstreams\n"
                                   "usage: bluebell-gateway --settings FILE [--check]",
         argc, argv);
