--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -192,9 +192,8 @@
         + " requests with the crashing part reached workers later than the stability window "
           "after the fifth crash; allowed "
         + std::to_string(allowedLateRequests));
-    // A fleet that refuses the part after its fourth crash never sees the fifth one, so the rule holds.
-    if (isTroubled() && crashes.crashCount() == 0)
-        throw std::runtime_error("no crashes");
+    if (isTroubled() && crashes.crashCount() < countedCrashes)
+        throw std::runtime_error("too few crashes");
     return late > allowedLateRequests ? broken : held;
 }
 
