Keep engine headroom for short prompts where many gateways dispatch

Long prompts waited for a placement on idle engines until none could meet their target, and were refused after three seconds. Change: EngineHeadroom limits the engines that long prompts occupy by the short streams in flight, OccupancyPrice rises as engines become scarce, and a prompt waits only while the placement that it has still meets the target. Active where there are more gateways than an engine has slots and the contention policy is not.

--- a/src/apps/gateway/dispatcher.cpp
+++ b/src/apps/gateway/dispatcher.cpp
@@ -264,6 +264,7 @@
     demand.isPeerLoadAvailable = this->isPeerLoadAvailable;
     if (!candidates.empty())
         demand.crowd = this->crowds.expectation(candidates.front().slots);
+    demand.isContended = this->isContended(pending.criteria.service);
     if (const Placement::ContentionPolicy* const contention = this->contentionPolicy(pending.criteria.service))
         demand.enginesOpenToLongPrompts = contention->openEngineCount(demand);
     return Placement::placePrompt(this->queues.find(pending.criteria.service)->second.model(), candidates, demand);
--- a/src/apps/gateway/dispatcher.h
+++ b/src/apps/gateway/dispatcher.h
@@ -152,6 +152,11 @@
     void countRequest(std::string_view upstreamGeneration);
     /** Activates the contention policy where the switch and the routes call for it, and ends it elsewhere. */
     void applyContentionPolicy();
+    /**
+     * Returns whether long prompts leave headroom to short ones without the contention policy: if there are more
+     * gateways than an engine has slots, each of which dispatches without knowing what the others do.
+     */
+    bool isContended(const std::string& service);
     /** Returns the contention policy of a service; null if it is not active. */
     Placement::ContentionPolicy* contentionPolicy(std::string_view service);
     /** Returns the load of the engines that a prompt of a service may use, for the contention policy. */
--- a/src/apps/gateway/dispatchercontention.cpp
+++ b/src/apps/gateway/dispatchercontention.cpp
@@ -45,6 +45,15 @@
     }
 }
 
+bool Dispatcher::isContended(const std::string& service)
+{
+    if (this->contentionSwitch == Foundation::FeatureSwitch::Off || this->contentionPolicy(service))
+        return false;
+    const auto queue = this->queues.find(service);
+    return queue != this->queues.end()
+        && this->processCount > static_cast<std::size_t>(queue->second.model().profile().slots);
+}
+
 Placement::ContentionPolicy* Dispatcher::contentionPolicy(std::string_view service)
 {
     const auto found = this->contentionPolicies.find(service);
@@ -77,6 +86,7 @@
     actions.refuse = [this](Placement::QueuedPromptId id, Foundation::ResultCode code, Duration retryAfter) {
         this->refuse(id, code, retryAfter);
     };
+    actions.isContended = this->isContended(service);
     const Placement::ContentionPolicy* const contention = this->contentionPolicy(service);
     if (!contention)
         return actions;
--- a/src/libs/placement/placementplanner.cpp
+++ b/src/libs/placement/placementplanner.cpp
@@ -1,5 +1,8 @@
 #include "placementplanner.h"
 
+#include "engineheadroom.h"
+#include "occupancyprice.h"
+
 #include "staleloadchoice.h"
 
 #include <algorithm>
@@ -52,10 +55,6 @@
 // The largest cost that the tie-breaker adds for long prompts, as a multiple of the order position cost. It spreads
 // their parts over similar engines.
 constexpr double tieBreakerOrderFactor = 10;
-// Prefill that occupies an engine for longer than the tolerated time keeps other requests from sharing the engine. Each
-// further second adds a cost, in the unit of the request weights.
-constexpr double toleratedOccupancyMs = 600;
-constexpr double occupancyCostPerSecond = 2;
 // A part that an engine prefills as a helper delays the prefill of the prompts that the engine runs itself. The cost is
 // a fraction of the weight of the prompt that needs the helper. It grows with the helper's own remaining prefill and
 // reaches this maximum at the time below.
@@ -106,6 +105,10 @@
                 toMs(model.decodeCycleTime(candidate.usage->requests, candidate.usage->reservedTokens)));
             this->backlogsMs.push_back(toMs(candidate.remainingPrefill) * candidate.slowdownFactor);
         }
+        if (demand.isContended && !this->isPackedPrompt) {
+            this->occupancyPrice = OccupancyPrice(candidates, this->backlogsMs);
+            this->headroom = EngineHeadroom(candidates, this->backlogsMs, demand.eventGapTarget);
+        }
     }
 
     std::optional<PromptPlacement> findBest()
@@ -120,7 +123,7 @@
             if (parts < this->memoryEngineCount)
                 continue;
             auto placement = this->placeWithParts(parts);
-            if (!placement)
+            if (!placement || !this->headroom.allows(*placement))
                 continue;
             const double cost = this->totalCost(*placement);
             if (!chosen || cost < lowest) {
@@ -305,9 +308,7 @@
     // Returns the cost of occupying an engine for so long that other requests cannot share it.
     double occupancyCostAt(std::size_t index, double partMs) const
     {
-        const double beforeMs = this->backlogsMs[index];
-        const double afterMs = beforeMs + partMs * this->candidates[index].slowdownFactor;
-        return occupancyCostPerSecond * std::max(0.0, afterMs - std::max(beforeMs, toleratedOccupancyMs)) / 1e3;
+        return this->occupancyPrice.cost(this->backlogsMs[index], partMs * this->candidates[index].slowdownFactor);
     }
 
     std::int64_t streamsWithGapUpTo(std::size_t index, Duration gap) const
@@ -518,6 +519,8 @@
     std::vector<double> cycleTimesMs;
     /** The prefill backlog of each candidate. */
     std::vector<double> backlogsMs;
+    OccupancyPrice occupancyPrice;
+    EngineHeadroom headroom;
 };
 
 } // namespace
--- a/src/libs/placement/placementplanner.h
+++ b/src/libs/placement/placementplanner.h
@@ -58,6 +58,8 @@
     double weight = 1;
     /** Whether load updates of most other processes are available. */
     bool isPeerLoadAvailable = true;
+    /** Whether prompts may compete for insufficient capacity, so that scarce engines cost more. */
+    bool isContended = false;
     /** None if short prompts are placed without regard to crowds. */
     std::optional<CrowdExpectation> crowd {};
     /** How many engines, at the end of the order, may run or prefill the prompt if it is long; none if all may. */
--- a/src/libs/placement/promptqueue.cpp
+++ b/src/libs/placement/promptqueue.cpp
@@ -29,6 +29,9 @@
 constexpr double usualDelayFactor = 1.4;
 // The fraction of their time that engines spend on prefill; they also decode meanwhile.
 constexpr double prefillTimeFraction = 0.75;
+// A placement is taken while the target is still so many times its predicted time to the first event away. The margin
+// is for predictions that are a little too short.
+constexpr double lastPlacementFactor = 1.15;
 
 // An engine may take twice as long as expected, but a longer delay is spread over more work and is estimated better.
 constexpr Duration firstEventUncertainty = std::chrono::milliseconds(100);
@@ -72,7 +75,7 @@
 }
 
 PromptQueue::Decision PromptQueue::decide(
-    const QueuedPrompt& prompt, const PromptPlacement& placement, Duration fastest) const
+    const QueuedPrompt& prompt, const PromptPlacement& placement, Duration fastest, bool isContended) const
 {
     if (prompt.hasBegun)
         return Decision::Dispatch;
@@ -83,8 +86,11 @@
     if (meetsTarget && placement.streamDelayCost <= tolerableFraction * weight
         && placement.prefillAhead <= prefillAheadLimit)
         return Decision::Dispatch;
-    // Engines may become free for a better placement before the target passes.
-    if (prompt.demand.timeToFirstEventTarget > fastest + decisionMargin)
+    // Engines may become free for a better placement before the target passes. While prompts compete they rarely become
+    // idle all at once, so a prompt waits only as long as the placement that it has now still meets the target.
+    const Duration needed
+        = isContended && meetsTarget ? scaled(placement.timeToFirstEvent, lastPlacementFactor) : fastest;
+    if (prompt.demand.timeToFirstEventTarget > needed + decisionMargin)
         return Decision::Wait;
     return placement.streamDelayCost + placement.occupancyCost
             <= (meetsTarget ? missedTargetPenalty : 1 - missedTargetPenalty) * weight
@@ -120,7 +126,7 @@
         // A stream that has begun is sent also late, since a refusal would cut it.
         const bool isInTime
             = placement && (prompt.hasBegun || now + latestFirstEvent(*placement) <= prompt.callerTimeoutAt);
-        if (isInTime && this->decide(prompt, *placement, fastest) == Decision::Dispatch) {
+        if (isInTime && this->decide(prompt, *placement, fastest, actions.isContended) == Decision::Dispatch) {
             this->remove(prompt.id);
             actions.dispatch(prompt.id, *placement);
             continue;
--- a/src/libs/placement/promptqueue.h
+++ b/src/libs/placement/promptqueue.h
@@ -47,6 +47,8 @@
     std::function<Foundation::Duration(const QueuedPrompt&, Foundation::Duration)> expectedFirstEvent = {};
     /** Called before a prompt is refused because of that time. */
     std::function<void(const QueuedPrompt&, Foundation::Duration)> onRefusedEarly = {};
+    /** Whether prompts may compete for insufficient capacity. */
+    bool isContended = false;
 };
 
 /**
@@ -80,7 +82,8 @@
 private:
     enum class Decision : std::uint8_t { Dispatch, Wait };
 
-    Decision decide(const QueuedPrompt& prompt, const PromptPlacement& placement, Foundation::Duration fastest) const;
+    Decision decide(const QueuedPrompt& prompt, const PromptPlacement& placement, Foundation::Duration fastest,
+        bool isContended) const;
     bool precedes(const QueuedPrompt& a, const QueuedPrompt& b) const;
     /** Refuses a long prompt whose first event cannot be expected in time. @return whether it was refused. */
     bool refuseWithoutProspect(const QueuedPrompt& prompt, Foundation::TimePoint now,
