--- a/src/tools/fleet/childprocess.cpp
+++ b/src/tools/fleet/childprocess.cpp
@@ -1,6 +1,8 @@
 #include "childprocess.h"
 
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 
 #include <csignal>
@@ -93,6 +95,23 @@
     return resident * ::sysconf(_SC_PAGESIZE);
 }
 
+std::int64_t ChildProcess::peakResidentBytes() const
+{
+    std::ifstream file("/proc/" + std::to_string(this->pid) + "/status");
+    for (std::string line; std::getline(file, line);) {
+        if (line.starts_with("VmHWM:"))
+            return std::stoll(line.substr(line.find_first_of("0123456789"))) * 1024;
+    }
+    return 0;
+}
+
+std::size_t ChildProcess::openDescriptors() const
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator entries("/proc/" + std::to_string(this->pid) + "/fd", error);
+    return error ? 0 : static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 bool ChildProcess::isRunning()
 {
     if (this->pid <= 0)
--- a/src/tools/fleet/childprocess.h
+++ b/src/tools/fleet/childprocess.h
@@ -34,6 +34,12 @@
     /** Returns the resident set size of the process. */
     std::int64_t residentBytes() const;
 
+    /** Returns the largest resident set size that the process has had. */
+    std::int64_t peakResidentBytes() const;
+
+    /** Returns the number of descriptors that the process has open. */
+    std::size_t openDescriptors() const;
+
     bool isRunning();
 
 private:
--- a/tests/system/gatewayfleet.h
+++ b/tests/system/gatewayfleet.h
@@ -52,6 +52,8 @@
         std::string upstreamProgram = "bluebell-crashable-upstream";
         /** The memory limit of a gateway that its settings name, in MB. */
         int gatewayMemoryMb = 260;
+        /** The maximum number of descriptors of a gateway that its settings name. */
+        int gatewayDescriptors = 4'100;
         /** The number of failure domains, to which the gateways belong in turn. */
         std::size_t failureDomains = 1;
         /** The number of failure domains, to which the upstreams belong in turn. */
@@ -90,6 +92,10 @@
     {
         return this->gateways[index].process->residentBytes();
     }
+    const Fleet::ChildProcess& gatewayProcess(std::size_t index) const { return *this->gateways[index].process; }
+    std::uint16_t metricsPort(std::size_t index) const { return this->gateways[index].metricsPort; }
+    /** Returns whether the process has not ended by itself. */
+    bool isGatewayAlive(std::size_t index) { return this->gateways[index].process->isRunning(); }
     void startGateway(std::size_t index);
     void killGateway(std::size_t index);
     /** Sends SIGTERM, after which the gateway ends when it has answered its requests. */
