Read requests within limits and hold each body once

Cause: RESTinio appends what it receives to strings and lists without regard to the memory of the process, keeps an entry for each chunk, and each body was copied for the handler and again for each call to an upstream.

Change: the connections use a socket type of their own (GuardedSocket), which RESTinio's traits allow. Its ConnectionReader reads with http_parser and hands RESTinio a head when the request is complete; RESTinio never sees a body, so it keeps no chunks. RequestReader bounds heads, targets, fields, empty lines, chunk heads, trailers and bodies. ReceiveMemory accounts for the capacity that a request occupies from its first byte until its body is released; a request may hold as much as is free beside all others, and requests that hold much and make no progress are evicted first. A refused client gets 400, 408, 413, 431 or 503 before its connection is closed; events 420 and 421 say why, at most once a second for each reason. HttpRequest shares its body with HttpCall::sharedBody.

--- a/src/apps/entry/requestparser.cpp
+++ b/src/apps/entry/requestparser.cpp
@@ -23,8 +23,8 @@
 std::string makeFingerprint(std::string_view target, const Web::HttpRequest& request)
 {
     const std::uint64_t head = Foundation::hash64(request.method + " " + request.path + "?" + request.query);
-    const std::uint64_t first = Foundation::hash64(request.body, Foundation::hash64(target, head));
-    const std::uint64_t second = Foundation::hash64(request.body, first);
+    const std::uint64_t first = Foundation::hash64(request.body(), Foundation::hash64(target, head));
+    const std::uint64_t second = Foundation::hash64(request.body(), first);
     return std::to_string(first) + "-" + std::to_string(second);
 }
 
@@ -43,7 +43,7 @@
 
 Result<ParsedRequest> parsePrompt(ParsedRequest parsed, const Web::HttpRequest& request, const RoutingTable& table)
 {
-    const auto fields = parsePromptFields(request.body);
+    const auto fields = parsePromptFields(request.body());
     if (!fields) {
         return Error { ResultCode::MalformedRequest,
             "the body must be a JSON object with a string 'model'; 'stream' must be a boolean and 'max_tokens' an "
@@ -56,9 +56,9 @@
     parsed.target = fields->model;
     parsed.path = request.path;
     parsed.answerMode = fields->stream ? AnswerMode::Streamed : AnswerMode::Buffered;
-    parsed.promptTokens = route->estimator->estimate(request.body.size());
+    parsed.promptTokens = route->estimator->estimate(request.body().size());
     parsed.outputTokens = fields->maximumTokens;
-    parsed.prefixHash = Routing::hashPromptPrefix(request.body);
+    parsed.prefixHash = Routing::hashPromptPrefix(request.body());
     parsed.lengthClass = Configuration::lengthClassFor(table.document().limits, parsed.promptTokens);
     return parsed;
 }
@@ -102,7 +102,7 @@
     if (!account)
         return account.error();
     const Configuration::LimitsDefinition& limits = table.document().limits;
-    if (request.body.size() > static_cast<std::uint64_t>(limits.maximumBodyBytes))
+    if (request.body().size() > static_cast<std::uint64_t>(limits.maximumBodyBytes))
         return Error { ResultCode::BodyTooLarge,
             "the body exceeds " + std::to_string(limits.maximumBodyBytes) + " bytes" };
     const auto timeout = parseTimeout(request, limits);
@@ -126,7 +126,7 @@
     if (!result)
         return result;
     result.value().fingerprint = makeFingerprint(result.value().target, request);
-    result.value().body = std::make_shared<const std::string>(request.body);
+    result.value().body = request.sharedBody ? request.sharedBody : std::make_shared<const std::string>();
     return result;
 }
 
--- a/src/apps/gateway/proxiedattempt.cpp
+++ b/src/apps/gateway/proxiedattempt.cpp
@@ -120,7 +120,7 @@
     call.method = source.method;
     call.url = "http://" + assignment.address + source.target;
     call.headers = PlatformAdapter::encodeForwardingHeaders(source, this->makeForwardingHeaders(leaseNames));
-    call.body = source.body;
+    call.sharedBody = source.sharedBody;
     // The attempt ends at the deadline at the latest; its call may be watched after that.
     call.timeout = this->timeLeft() + Relay::longestSoundSilence;
     call.connectTimeout = connectTimeout;
--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -145,7 +145,7 @@
 {
     const Web::HttpRequest& source = this->exchange->request();
     const std::string accountName = this->account ? this->account->name : std::string();
-    return std::to_string(Foundation::hash64(source.body, Foundation::hash64(source.target + "\n" + accountName)));
+    return std::to_string(Foundation::hash64(source.body(), Foundation::hash64(source.target + "\n" + accountName)));
 }
 
 bool ProxiedRequest::refuseIfQuarantined()
--- a/src/libs/foundation/event.h
+++ b/src/libs/foundation/event.h
@@ -52,6 +52,8 @@
     AttemptSilent = 415,
     SilenceEnded = 416,
     RequestLate = 417,
+    ClientRefused = 420,
+    ReceiveMemoryFull = 421,
     UpstreamGeneration = 500,
     UpstreamCold = 501,
     UpstreamDown = 502,
--- a/src/libs/platform/httptransfers.cpp
+++ b/src/libs/platform/httptransfers.cpp
@@ -205,10 +205,12 @@
     return bytes;
 }
 
+const std::string& bodyOf(const HttpCall& call) { return call.sharedBody ? *call.sharedBody : call.body; }
+
 std::size_t provideBody(char* buffer, std::size_t size, std::size_t count, void* user)
 {
     auto& transfer = *static_cast<Transfer*>(user);
-    const std::string_view rest = std::string_view(transfer.call.body).substr(transfer.sentBodyBytes);
+    const std::string_view rest = std::string_view(bodyOf(transfer.call)).substr(transfer.sentBodyBytes);
     const std::size_t bytes = std::min(rest.size(), size * count);
     rest.copy(buffer, bytes);
     transfer.sentBodyBytes += bytes;
@@ -261,7 +263,7 @@
     CURL* const easy = transfer.easy.get();
     curl_easy_setopt(easy, CURLOPT_READFUNCTION, &provideBody);
     curl_easy_setopt(easy, CURLOPT_READDATA, &transfer);
-    if (transfer.call.body.empty())
+    if (bodyOf(transfer.call).empty())
         useDedicatedConnection(easy);
 }
 
@@ -269,15 +271,16 @@
 {
     const HttpCall& call = transfer.call;
     CURL* const easy = transfer.easy.get();
-    const bool hasBody = !call.body.empty() || call.method == "POST" || call.method == "PUT" || call.method == "PATCH";
+    const bool hasBody
+        = !bodyOf(call).empty() || call.method == "POST" || call.method == "PUT" || call.method == "PATCH";
     if (hasBody) {
         curl_easy_setopt(easy, CURLOPT_POST, 1L);
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body.size()));
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(bodyOf(call).size()));
     }
     if (call.resend == Resend::Never)
         forbidResend(transfer);
     else if (hasBody)
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, bodyOf(call).data());
 }
 
 void setOptions(Transfer& transfer)
--- a/src/libs/platform/httptransfers.h
+++ b/src/libs/platform/httptransfers.h
@@ -58,6 +58,8 @@
      * closed.
      */
     HttpField answerId {};
+    /** Sent instead of the body if it is set; shared with the request that it came with and with other calls. */
+    std::shared_ptr<const std::string> sharedBody {};
 };
 
 /** The outcome of a call. */
--- /dev/null
+++ b/src/libs/web/guardedsocket.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "connectionreader.h"
+
+#include <asio/associated_executor.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <memory>
+#include <utility>
+
+namespace Web {
+
+/**
+ * The socket of a connection of RESTinio, which reads what a ConnectionReader lets through. The names of the members
+ * are those that RESTinio and Asio call.
+ */
+class GuardedSocket : public asio::ip::tcp::socket {
+public:
+    using asio::ip::tcp::socket::socket;
+
+    GuardedSocket(GuardedSocket&&) = default;
+    GuardedSocket& operator=(GuardedSocket&&) = default;
+    ~GuardedSocket() { this->detach(); }
+
+    /** Begins to guard the socket, which must not be moved any more. */
+    void guard(const asio::any_io_executor& executor)
+    {
+        this->reader = std::make_shared<ConnectionReader>(*this, executor);
+    }
+
+    const std::shared_ptr<ConnectionReader>& connectionReader() const { return this->reader; }
+
+    template <typename Handler>
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    void async_read_some(const asio::mutable_buffer& buffer, Handler&& handler)
+    {
+        this->reader->asyncRead(buffer, std::forward<Handler>(handler));
+    }
+
+    void close()
+    {
+        this->detach();
+        asio::ip::tcp::socket::close();
+    }
+
+private:
+    void detach()
+    {
+        if (const auto detached = std::exchange(this->reader, nullptr))
+            detached->detach();
+    }
+
+    std::shared_ptr<ConnectionReader> reader;
+};
+
+} // namespace Web
--- a/src/libs/web/httprequest.cpp
+++ b/src/libs/web/httprequest.cpp
@@ -11,6 +11,12 @@
     return std::ranges::equal(a, b, {}, lower, lower);
 }
 
+const std::string& HttpRequest::body() const
+{
+    static const std::string empty;
+    return this->sharedBody ? *this->sharedBody : empty;
+}
+
 std::string_view HttpRequest::header(std::string_view name) const
 {
     const auto found = std::ranges::find_if(
--- a/src/libs/web/httprequest.h
+++ b/src/libs/web/httprequest.h
@@ -23,7 +23,10 @@
     std::string path;
     std::string query;
     std::vector<HttpHeader> headers;
-    std::string body;
+    /** The body, which requests to upstreams share; may be null if it is empty. */
+    std::shared_ptr<const std::string> sharedBody;
+
+    const std::string& body() const;
 
     /** Returns the value of a header, or an empty string if there is none. The case of the name is ignored. */
     std::string_view header(std::string_view name) const;
--- a/src/libs/web/httpserver.cpp
+++ b/src/libs/web/httpserver.cpp
@@ -1,8 +1,11 @@
 #include "httpserver.h"
 
+#include "guardedsocket.h"
+
 #include <restinio/all.hpp>
 
 #include <atomic>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -95,8 +98,10 @@
 
 class RestinioExchange final : public HttpExchange {
 public:
-    RestinioExchange(restinio::request_handle_t source, std::shared_ptr<ExchangeRegistry> registry)
+    RestinioExchange(restinio::request_handle_t source, std::shared_ptr<ExchangeRegistry> registry,
+        const std::shared_ptr<ConnectionReader>& reader)
         : source(std::move(source))
+        , reader(reader)
         , connection(restinio::impl::access_req_connection(*this->source))
         , registry(std::move(registry))
     {
@@ -120,7 +125,8 @@
         for (HttpHeader& header : reply.headers)
             response.append_header(std::move(header.name), std::move(header.value));
         response.set_body(std::move(reply.body));
-        response.done([attachment = std::move(reply.attachment)](const auto&) {});
+        response.done([attachment = std::move(reply.attachment), answered = this->reader](
+                          const auto&) { tellAnswered(answered); });
     }
 
     void beginStream(const HttpReply& head) override
@@ -159,7 +165,8 @@
         const std::lock_guard lock(this->streamMutex);
         if (!this->stream)
             return;
-        this->stream->done([attachment = std::move(attachment)](const auto&) {});
+        this->stream->done(
+            [attachment = std::move(attachment), answered = this->reader](const auto&) { tellAnswered(answered); });
         this->stream.reset();
     }
 
@@ -205,6 +212,12 @@
         return { restinio::http_status_code_t(static_cast<std::uint16_t>(status)), status < 400 ? "OK" : "Error" };
     }
 
+    static void tellAnswered(const std::weak_ptr<ConnectionReader>& connectionReader)
+    {
+        if (const auto found = connectionReader.lock())
+            found->onAnswered();
+    }
+
     void readRequest()
     {
         const auto& header = this->source->header();
@@ -215,7 +228,8 @@
         header.for_each_field([this](const auto& field) {
             this->parsed.headers.push_back({ std::string(field.name()), std::string(field.value()) });
         });
-        this->parsed.body = this->source->body();
+        if (const auto found = this->reader.lock())
+            this->parsed.sharedBody = found->takeBody();
     }
 
     // Stops the handling of disconnects; called before the response is completed or aborted.
@@ -228,6 +242,7 @@
     }
 
     restinio::request_handle_t source;
+    std::weak_ptr<ConnectionReader> reader;
     restinio::impl::connection_handle_t connection;
     std::shared_ptr<ExchangeRegistry> registry;
     HttpRequest parsed;
@@ -240,15 +255,24 @@
     bool isDisconnected = false;
 };
 
-class ConnectionCloseListener {
+// The reader of the connection that RESTinio is about to report as accepted. RESTinio constructs sockets without any
+// settings of the server and reports connections without their sockets, both in one call on one thread.
+thread_local ConnectionReader* acceptedReader = nullptr;
+
+class ConnectionListener {
 public:
-    explicit ConnectionCloseListener(std::shared_ptr<ExchangeRegistry> registry)
+    ConnectionListener(std::shared_ptr<ExchangeRegistry> registry, std::shared_ptr<ConnectionReaders> readers,
+        std::shared_ptr<ReceiveGuard> guard)
         : registry(std::move(registry))
+        , readers(std::move(readers))
+        , guard(std::move(guard))
     {
     }
 
     void state_changed(const restinio::connection_state::notice_t& notice) noexcept
     {
+        if (restinio::holds_alternative<restinio::connection_state::accepted_t>(notice.cause()) && acceptedReader)
+            acceptedReader->attach(notice.connection_id(), this->guard, this->readers);
         if (!restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause()))
             return;
         for (const auto& exchange : this->registry->takeAll(notice.connection_id()))
@@ -257,6 +281,8 @@
 
 private:
     std::shared_ptr<ExchangeRegistry> registry;
+    std::shared_ptr<ConnectionReaders> readers;
+    std::shared_ptr<ReceiveGuard> guard;
 };
 
 // RESTinio requires these member names.
@@ -264,13 +290,50 @@
     // NOLINTNEXTLINE(readability-identifier-naming)
     using request_handler_t = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
     // NOLINTNEXTLINE(readability-identifier-naming)
-    using connection_state_listener_t = ConnectionCloseListener;
+    using connection_state_listener_t = ConnectionListener;
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    using stream_socket_t = GuardedSocket;
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    static constexpr bool use_connection_count_limiter = true;
 };
 
 using RestinioServer = restinio::http_server_t<ServerTraits>;
 
+// Protects a process whose settings name no limits.
+std::shared_ptr<ReceiveGuard> makeDefaultGuard(const HttpServerSettings& settings)
+{
+    static const Foundation::SteadyClock clock;
+    constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
+    ReceiveLimits limits;
+    limits.maximumBodyBytes = settings.maximumBodyBytes;
+    return std::make_shared<ReceiveGuard>(limits, ReceiveMemory::Settings { unlimited, unlimited }, clock);
+}
+
+// RESTinio reads only heads that the connection's reader has let through; these limits are a second line.
+restinio::incoming_http_msg_limits_t headLimits()
+{
+    constexpr std::size_t largestHeadBytes = 1 << 20;
+    return restinio::incoming_http_msg_limits_t {}
+        .max_url_size(largestHeadBytes)
+        .max_field_name_size(largestHeadBytes)
+        .max_field_value_size(largestHeadBytes)
+        .max_body_size(0);
+}
+
 } // namespace
 
+// Called by RESTinio before the first read on a connection.
+template <typename Connection, typename StartHandler, typename FailureHandler>
+// NOLINTNEXTLINE(readability-identifier-naming)
+void prepare_connection_and_start_read(
+    GuardedSocket& socket, Connection& connection, StartHandler start, FailureHandler)
+{
+    socket.guard(connection.get_executor());
+    acceptedReader = socket.connectionReader().get();
+    start();
+    acceptedReader = nullptr;
+}
+
 struct HttpServer::State {
     std::unique_ptr<RestinioServer> server;
 };
@@ -283,8 +346,11 @@
     : state(std::make_unique<State>())
 {
     const auto registry = std::make_shared<ExchangeRegistry>();
-    auto onRequest = [registry, handler = std::move(handler)](restinio::request_handle_t request) {
-        const auto exchange = std::make_shared<RestinioExchange>(request, registry);
+    const auto readers = std::make_shared<ConnectionReaders>();
+    const auto guard = settings.guard ? settings.guard : makeDefaultGuard(settings);
+    auto onRequest = [registry, readers, handler = std::move(handler)](restinio::request_handle_t request) {
+        const auto exchange
+            = std::make_shared<RestinioExchange>(request, registry, readers->find(request->connection_id()));
         registry->add(idOf(*request), exchange);
         handler(exchange);
         return restinio::request_accepted();
@@ -294,13 +360,13 @@
             restinioSettings.address(settings.address)
                 .port(settings.port)
                 .request_handler(std::move(onRequest))
-                .connection_state_listener(std::make_shared<ConnectionCloseListener>(registry))
+                .connection_state_listener(std::make_shared<ConnectionListener>(registry, readers, guard))
                 .max_pipelined_requests(pipelinedRequests)
                 .read_next_http_message_timelimit(requestTimeLimit)
                 .handle_request_timeout(requestTimeLimit)
                 .write_http_response_timelimit(writeTimeLimit)
-                .incoming_http_msg_limits(
-                    restinio::incoming_http_msg_limits_t {}.max_body_size(settings.maximumBodyBytes))
+                .max_parallel_connections(settings.maximumConnections)
+                .incoming_http_msg_limits(headLimits())
                 .acceptor_options_setter([](auto& options) {
                     options.set_option(restinio::asio_ns::ip::tcp::acceptor::reuse_address(true));
                 })
--- a/src/libs/web/httpserver.h
+++ b/src/libs/web/httpserver.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -17,6 +18,8 @@
 
 namespace Web {
 
+class ReceiveGuard;
+
 /** A received request and the means to respond to it. */
 class HttpExchange {
 public:
@@ -60,7 +63,12 @@
 struct HttpServerSettings {
     std::string address;
     std::uint16_t port = 0;
+    /** Applies if there is no guard. */
     std::uint64_t maximumBodyBytes = 0;
+    /** The limits for clients, shared by the servers of a process; null for the defaults and no bound of the memory. */
+    std::shared_ptr<ReceiveGuard> guard {};
+    /** Further connections are accepted when others have been closed. */
+    std::size_t maximumConnections = std::numeric_limits<std::size_t>::max();
 };
 
 class HttpServer {
--- a/src/tools/standin/faultswitches.cpp
+++ b/src/tools/standin/faultswitches.cpp
@@ -16,7 +16,7 @@
     if (request.path != "/faults")
         return false;
     if (request.method == "POST") {
-        const auto values = nlohmann::json::parse(request.body, nullptr, /* allow_exceptions */ false);
+        const auto values = nlohmann::json::parse(request.body(), nullptr, /* allow_exceptions */ false);
         if (!values.is_object()) {
             respondJson(exchange, { { "error", "the body must be a JSON object of integers" } }, badRequest);
             return true;
--- a/src/tools/standin/instancelist.cpp
+++ b/src/tools/standin/instancelist.cpp
@@ -21,7 +21,7 @@
     if (request.path != "/instances") {
         respondJson(*exchange, { { "error", "unknown path" } }, notFound);
     } else if (request.method == "PUT") {
-        this->replace(request.body);
+        this->replace(request.body());
         respondJson(*exchange, nlohmann::json::object());
     } else if (this->faults.get("outage") != 0) {
         exchange->abort();
--- a/src/tools/standin/logservice.cpp
+++ b/src/tools/standin/logservice.cpp
@@ -56,7 +56,7 @@
     }
     const auto appendRecord = [this, exchange, stream] {
         Stream& target = this->streams[stream];
-        target.records.push_back({ target.end++, this->now(), exchange->request().body });
+        target.records.push_back({ target.end++, this->now(), exchange->request().body() });
         ++this->totalAppends;
         if (this->faults.consume("loseAppendAnswers"))
             exchange->abort();
--- a/src/tools/standin/modelengine.cpp
+++ b/src/tools/standin/modelengine.cpp
@@ -65,7 +65,7 @@
 void ModelEngine::start(const std::shared_ptr<Web::HttpExchange>& exchange)
 {
     const Web::HttpRequest& request = exchange->request();
-    const auto body = nlohmann::json::parse(request.body, nullptr, /* allow_exceptions */ false);
+    const auto body = nlohmann::json::parse(request.body(), nullptr, /* allow_exceptions */ false);
     if (!body.is_object()) {
         respondJson(*exchange, { { "error", "malformed JSON" } }, badRequest);
         return;
@@ -74,14 +74,14 @@
     const std::string_view requestedId = request.header("X-Stream-Id");
     stream->id = requestedId.empty() ? Foundation::makeIdentifier() : std::string(requestedId);
     stream->request = request.header("X-Request-Id");
-    stream->promptHash = Foundation::hash64(request.body);
-    stream->bodyBytes = request.body.size();
+    stream->promptHash = Foundation::hash64(request.body());
+    stream->bodyBytes = request.body().size();
     stream->priority = static_cast<int>(parseIntegerOr(request.header("X-Priority"), 0));
     stream->arrivalNumber = ++this->lastArrivalNumber;
     stream->isStreamed = body.value("stream", false);
-    stream->crashesEngine = request.body.find(crashMarker) != std::string::npos;
+    stream->crashesEngine = request.body().find(crashMarker) != std::string::npos;
     stream->promptTokens = std::max<std::int64_t>(
-        1, static_cast<std::int64_t>(static_cast<double>(request.body.size()) / this->settings.bytesPerToken));
+        1, static_cast<std::int64_t>(static_cast<double>(request.body().size()) / this->settings.bytesPerToken));
     stream->outputTokens = body.value("max_tokens", std::int64_t { 256 });
     stream->prefillTokensLeft = std::max<std::int64_t>(1, stream->promptTokens - this->cachedTokens(request));
     if (this->usedTokens() + stream->reservedTokens() > this->settings.memoryTokens) {
@@ -389,9 +389,9 @@
 
 std::int64_t ModelEngine::cachedTokens(const Web::HttpRequest& request)
 {
-    if (request.body.size() < prefixBytes)
+    if (request.body().size() < prefixBytes)
         return 0;
-    const std::uint64_t prefix = Foundation::hash64(std::string_view(request.body).substr(0, prefixBytes));
+    const std::uint64_t prefix = Foundation::hash64(std::string_view(request.body()).substr(0, prefixBytes));
     const auto found = std::ranges::find(this->cachedPrefixes, prefix);
     const bool isHit = found != this->cachedPrefixes.end();
     if (isHit)
--- a/tests/auto/platform/tst_httptransfers.cpp
+++ b/tests/auto/platform/tst_httptransfers.cpp
@@ -302,7 +302,7 @@
     const std::uint16_t port = unusedPort();
     Web::HttpServer other { server.context, { "127.0.0.1", port, 1'000'000 },
         [](const std::shared_ptr<Web::HttpExchange>& exchange) {
-            exchange->respond({ 200, "text/plain", {}, exchange->request().body });
+            exchange->respond({ 200, "text/plain", {}, exchange->request().body() });
         } };
     other.start(throwListenFailure(server.context));
     CHECK_TRUE(server.call("GET", Resend::Allowed).isSuccess());
--- a/tests/auto/web/tst_httpserver.cpp
+++ b/tests/auto/web/tst_httpserver.cpp
@@ -89,3 +89,25 @@
     CHECK_TRUE(this->runUntil([&] { return hasNextLeft; }));
     CHECK_FALSE(hasLeft);
 }
+
+TEST(HttpServerTest, pipelinedRequestsWithBodiesAreServedInTurn)
+{
+    const std::string post = "POST / HTTP/1.1\r\nHost: h\r\n";
+    this->send(post + "Content-Length: 5\r\n\r\nfirst" + post + "Transfer-Encoding: chunked\r\n\r\n3\r\nsec\r\n", 1);
+    STRCMP_EQUAL("first", this->exchanges[0]->request().body().c_str());
+    this->exchanges[0]->respond({ 200, "text/plain", {}, "answer" });
+    this->readAnswer();
+    this->send("3\r\nond\r\n0\r\n\r\n", 2);
+    STRCMP_EQUAL("second", this->exchanges[1]->request().body().c_str());
+}
+
+TEST(HttpServerTest, aCallerThatAnnouncesTooMuchIsToldAndDisconnected)
+{
+    asio::write(this->caller, asio::buffer(std::string("PUT / HTTP/1.1\r\nContent-Length: 1000001\r\n\r\n")));
+    bool isClosed = false;
+    asio::async_read(this->caller, asio::dynamic_buffer(this->received),
+        [&](const asio::error_code& error, std::size_t) { isClosed = error == asio::error::eof; });
+    CHECK_TRUE(this->runUntil([&] { return isClosed; }));
+    STRCMP_CONTAINS("HTTP/1.1 413 ", this->received.c_str());
+    CHECK_TRUE(this->exchanges.empty());
+}
--- a/tests/standins/standinstore.cpp
+++ b/tests/standins/standinstore.cpp
@@ -255,7 +255,7 @@
 {
     ++this->appends;
     const std::string name(request.parameter("topic"));
-    std::string_view rest = request.body;
+    std::string_view rest = request.body();
     while (rest.size() >= lengthBytes) {
         std::size_t length = 0;
         for (std::size_t i = 0; i < lengthBytes; ++i)
