Bound what a gateway takes from clients that keep no limit

Cause: a gateway with 260 MB held 1.6 to 4.5 GB when 400 clients sent bodies that they did not finish.

Change: the settings have an object `receive` with the memory for requests (a third of the process's memory by default), the numbers of connections and of incomplete requests, and limits for heads, framing, bodies and times. The limits that the operator's document names replace the settings; the time for a head is five quarters of header_timeout_ms, so that a caller that just keeps it is not cut off by a delay of the network. Half of max_fds is for callers' connections. The listeners of a process share one memory. The stand-in upstream takes bodies of up to 16 MiB, since a body of the full limit is sent to it.

--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -87,6 +87,8 @@
 GatewayCore::GatewayCore(asio::io_context& context, const GatewaySettings& settings)
     : context(context)
     , settings(settings)
+    , callerGuard(std::make_shared<Web::ReceiveGuard>(makeReceiveLimits(settings.receive, {}),
+          makeReceiveMemorySettings(settings.receive, settings.node.memoryBytes), this->clock))
     , transfers(context)
     , engineOrders(this->transfers)
     , memoryLeases(
@@ -234,6 +236,9 @@
     this->storeSynchronizer.setSettings(newSettings);
     this->retryBudget.setLimit(makeRetryLimit(newSettings.node));
     this->answerMemory.setCapacity(newSettings.node.memoryBytes / answerMemoryDivisor);
+    this->callerGuard->memory->setSettings(
+        makeReceiveMemorySettings(newSettings.receive, newSettings.node.memoryBytes));
+    this->applyCallerLimits();
     this->applyLimits();
 }
 
@@ -396,10 +401,31 @@
     this->dispatcher.setColdStartLimit(this->settings.node.coldStartFactor, this->settings.node.coldStartAllowance);
 }
 
+void GatewayCore::applyCallerLimits()
+{
+    const auto policy = this->storeSynchronizer.policy();
+    this->callerGuard->setLimits(
+        makeReceiveLimits(this->settings.receive, policy ? policy->callerLimits() : Policy::CallerLimits {}));
+}
+
+void GatewayCore::exportReceiveMetrics()
+{
+    const Web::ReceiveMemory& memory = *this->callerGuard->memory;
+    this->metrics.setGauge("bluebell_receive_memory_bytes", "", static_cast<double>(memory.heldBytes()));
+    this->metrics.setGauge("bluebell_receive_memory_peak_bytes", "", static_cast<double>(memory.peakBytes()));
+    this->metrics.setGauge("bluebell_requests_receiving", "", static_cast<double>(memory.receivingCount()));
+    for (const Web::ClientRefusal refusal : Web::allClientRefusals) {
+        const std::string label = "reason=\"" + std::string(Web::refusalName(refusal)) + "\"";
+        this->metrics.counter("bluebell_clients_refused_total", label)
+            .store(this->callerGuard->refusals.count(refusal));
+    }
+}
+
 void GatewayCore::onStoreCacheChanged()
 {
     if (const auto policy = this->storeSynchronizer.policy())
         this->dispatcher.setPolicy(policy);
+    this->applyCallerLimits();
     this->dispatcher.schedule();
 }
 
@@ -557,6 +583,7 @@
     this->metrics.setGauge("bluebell_prompts_waiting", "", static_cast<double>(this->dispatcher.queuedPromptCount()));
     this->metrics.setGauge("bluebell_upstreams", "", static_cast<double>(this->storeSynchronizer.directory().size()));
     this->metrics.setGauge("bluebell_answer_memory_bytes", "", static_cast<double>(this->answerMemory.heldBytes()));
+    this->exportReceiveMetrics();
     this->metrics.setGauge("bluebell_suspects", "", static_cast<double>(this->suspects.size()));
     this->metrics.setGauge("bluebell_limited_upstreams", "", static_cast<double>(this->upstreamLimits.size()));
     this->metrics.setGauge("bluebell_gateways", "", static_cast<double>(this->peers.memberCount()));
--- a/src/apps/gateway/gatewaycore.h
+++ b/src/apps/gateway/gatewaycore.h
@@ -11,6 +11,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <web/receiveguard.h>
 
 #include <functional>
 #include <map>
@@ -32,6 +33,9 @@
     /** Serves a caller's request. */
     void serve(const std::shared_ptr<Web::HttpExchange>& exchange);
 
+    /** Returns the limits and the memory for requests, which the listeners of the process share. */
+    const std::shared_ptr<Web::ReceiveGuard>& receiveGuard() const { return this->callerGuard; }
+
     /** Returns whether the process accepts requests, for the readiness check of the load balancer. */
     bool isReady() const;
 
@@ -88,6 +92,8 @@
     std::vector<Quarantine::CrashNotice> suspectGeneration(const std::string& generation);
     void logSuspect(const Quarantine::CrashNotice& notice, std::string_view ending) const;
     void applyLimits();
+    void applyCallerLimits();
+    void exportReceiveMetrics();
     bool canStop(Foundation::TimePoint now) const;
 
     asio::io_context& context;
@@ -96,6 +102,7 @@
     Foundation::BootClock bootClock;
     Foundation::SystemWallClock wallClock;
     Foundation::MetricRegistry metrics;
+    std::shared_ptr<Web::ReceiveGuard> callerGuard;
     Platform::HttpTransfers transfers;
     PlatformAdapter::EngineOrders engineOrders;
     MemoryLeaseManager<PlatformAdapter::EngineOrders> memoryLeases;
--- a/src/apps/gateway/gatewaysettings.cpp
+++ b/src/apps/gateway/gatewaysettings.cpp
@@ -42,6 +42,7 @@
     settings.metricsPort = static_cast<std::uint16_t>(reader.integer("metricsPort", 1, 65535, settings.metricsPort));
     settings.crowdPlacement = readSwitch(reader, "crowdPlacement");
     settings.contentionPolicy = readSwitch(reader, "contentionPolicy");
+    settings.receive = readReceiveSettings(reader.object("receive"));
     // The platform writes this object and may add fields at any time, so it is not checked for unknown keys.
     reader.object(nodeKey);
     reader.rejectUnknownKeys();
--- a/src/apps/gateway/gatewaysettings.h
+++ b/src/apps/gateway/gatewaysettings.h
@@ -6,6 +6,7 @@
 #include <platform/httptransfers.h>
 
 #include "platform/nodesettings.h"
+#include "receivesettings.h"
 
 #include <cstdint>
 #include <string>
@@ -24,6 +25,7 @@
     Foundation::FeatureSwitch crowdPlacement = Foundation::FeatureSwitch::Automatic;
     /** Whether long prompts are refused early and engines kept free for short ones. */
     Foundation::FeatureSwitch contentionPolicy = Foundation::FeatureSwitch::Automatic;
+    ReceiveSettings receive;
 };
 
 /**
--- a/src/apps/gateway/main.cpp
+++ b/src/apps/gateway/main.cpp
@@ -23,8 +23,8 @@
 using Foundation::Event;
 using Foundation::logEvent;
 
-// Configuration documents limit bodies to a few MB; this limit only protects the memory of the process.
-constexpr std::uint64_t maximumBodyBytes = 16 * 1024 * 1024;
+// The platform and the operator's tools use only a few connections to these listeners.
+constexpr std::size_t maximumServiceConnections = 64;
 // The settings file may change without a SIGHUP, so it is also read at this interval.
 constexpr auto settingsPollInterval = std::chrono::seconds(1);
 constexpr int okStatus = 200;
@@ -109,15 +109,20 @@
         context.stop();
     };
     const auto& node = settings.node;
-    Web::HttpServer callers(context, { node.callerEndpoint.address, node.callerEndpoint.port, maximumBodyBytes },
+    const auto listen = [&core](const std::string& address, std::uint16_t port, std::size_t maximumConnections) {
+        return Web::HttpServerSettings { address, port, 0, core.receiveGuard(), maximumConnections };
+    };
+    Web::HttpServer callers(context,
+        listen(node.callerEndpoint.address, node.callerEndpoint.port,
+            Gateway::maximumCallerConnections(settings.receive, node.maximumDescriptors)),
         [&core](const std::shared_ptr<Web::HttpExchange>& exchange) { core.serve(exchange); });
     Web::HttpServer readiness(context,
-        { node.readinessEndpoint.address, node.readinessEndpoint.port, maximumBodyBytes },
+        listen(node.readinessEndpoint.address, node.readinessEndpoint.port, maximumServiceConnections),
         [&core](const std::shared_ptr<Web::HttpExchange>& exchange) {
             exchange->respond(core.isReady() ? plainTextReply(okStatus, "ready\n")
                                              : plainTextReply(unavailableStatus, "not ready\n"));
         });
-    Web::HttpServer metrics(context, { node.address, settings.metricsPort, maximumBodyBytes },
+    Web::HttpServer metrics(context, listen(node.address, settings.metricsPort, maximumServiceConnections),
         [&core](const std::shared_ptr<Web::HttpExchange>& exchange) {
             exchange->respond(plainTextReply(okStatus, core.renderMetrics()));
         });
--- a/src/libs/policy/trafficpolicy.h
+++ b/src/libs/policy/trafficpolicy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "callerlimits.h"
 #include "route.h"
 #include "serviceprofile.h"
 
@@ -32,12 +33,14 @@
         std::map<std::string, Account, std::less<>> accountsByKey;
         /** Whether the document lists accounts, in which case requests need a key. */
         bool hasAccounts = false;
+        CallerLimits callerLimits;
     };
 
     explicit TrafficPolicy(Content content);
 
     std::int64_t version() const { return this->content.version; }
     bool hasAccounts() const { return this->content.hasAccounts; }
+    const CallerLimits& callerLimits() const { return this->content.callerLimits; }
     const std::vector<Route>& routes() const { return this->content.routes; }
     const std::vector<ServiceProfile>& services() const { return this->content.services; }
 
--- a/tests/auto/gateway/tst_gatewaysettings.cpp
+++ b/tests/auto/gateway/tst_gatewaysettings.cpp
@@ -41,3 +41,31 @@
     STRCMP_CONTAINS("typo", settings.error().message.c_str());
     STRCMP_CONTAINS("listen.front", settings.error().message.c_str());
 }
+
+TEST(GatewaySettingsTest, theLimitsOfTheDocumentReplaceThoseOfTheSettings)
+{
+    const auto settings = parseGatewaySettings("t",
+        std::string(R"({"receive": {"memoryMb": 5, "maximumBodyBytes": 2048, "maximumFields": 20}, "node": )")
+            + testNode + "}");
+    CHECK_TRUE(settings.has_value());
+    const ReceiveSettings& receive = settings.value().receive;
+    CHECK_EQUAL(2048U, makeReceiveLimits(receive, {}).maximumBodyBytes);
+    const Web::ReceiveLimits limits
+        = makeReceiveLimits(receive, { 16'384, 4'194'304, std::chrono::seconds(3), std::chrono::seconds(15) });
+    CHECK_EQUAL(4'194'304U, limits.maximumBodyBytes);
+    CHECK_EQUAL(16'384U, limits.maximumHeaderBytes);
+    CHECK_EQUAL(20U, limits.maximumFields);
+    // Callers that stay within the limits of the document are never cut off.
+    CHECK_TRUE(limits.headTime > std::chrono::seconds(3));
+    CHECK_TRUE(limits.idleTime >= std::chrono::seconds(12));
+    CHECK_EQUAL(5'000'000U, makeReceiveMemorySettings(receive, 160'000'000).capacity);
+}
+
+TEST(GatewaySettingsTest, wrongLimitsForClientsAreReported)
+{
+    const auto settings = parseGatewaySettings(
+        "t", std::string(R"({"receive": {"maximumFields": 0, "typo": 1}, "node": )") + testNode + "}");
+    CHECK_FALSE(settings.has_value());
+    STRCMP_CONTAINS("maximumFields", settings.error().message.c_str());
+    STRCMP_CONTAINS("typo", settings.error().message.c_str());
+}
--- a/tests/auto/platformadapter/tst_nodesettings.cpp
+++ b/tests/auto/platformadapter/tst_nodesettings.cpp
@@ -13,7 +13,7 @@
     return nlohmann::json::parse(R"({
         "node_name": "edge-a-1", "ip": "10.1.0.40", "zone": "a", "region": "r", "zones": {"a": "r", "b": "s"},
         "listen": {"front": "10.1.0.40:8227", "readiness": "10.1.0.40:8220", "control": "10.1.0.40:8229"},
-        "seeds": ["10.1.0.40:8229"], "heartbeat_ms": 1200, "limits": {"cpu_share": 0.09, "cores": 2, "memory_mb": 260}, "something_new": {"x": [1]},
+        "seeds": ["10.1.0.40:8229"], "heartbeat_ms": 1200, "limits": {"cpu_share": 0.09, "cores": 2, "memory_mb": 260, "max_fds": 4100}, "something_new": {"x": [1]},
         "bounds": {"grace_s": 8, "revoke_ms": 5000, "config_apply_ms": 2000, "retry_budget_ratio": 0.2,
                    "retry_budget_slack": 102, "budget_window_s": 10, "cold_overrun": 1.5, "cold_slack": 5},
         "platform": {"address": "10.200.1.7:8223"}
@@ -35,6 +35,7 @@
     CHECK_TRUE(settings.value().keyRevocationLimit == 5s);
     CHECK_TRUE(settings.value().shutdownGrace == 8s);
     UNSIGNED_LONGS_EQUAL(260'000'000, settings.value().memoryBytes);
+    UNSIGNED_LONGS_EQUAL(4'100, settings.value().maximumDescriptors);
     DOUBLES_EQUAL(0.18, settings.value().processorCores, 1e-9);
     DOUBLES_EQUAL(102, settings.value().retryAllowance, 1e-9);
 }
--- a/tests/auto/platformadapter/tst_policydecoder.cpp
+++ b/tests/auto/platformadapter/tst_policydecoder.cpp
@@ -50,6 +50,17 @@
     CHECK_TRUE(policy->hasAccounts());
 }
 
+TEST(PolicyDecoderTest, limitsThatAreMissingOrNotPositiveAreNotInForce)
+{
+    const auto policy
+        = decodePolicy(R"({"limits": {"max_header_bytes": 16384, "max_body_bytes": 0, "idle_timeout_ms": 15000}})");
+    const Policy::CallerLimits& limits = policy.value()->callerLimits();
+    UNSIGNED_LONGS_EQUAL(16'384, limits.maximumHeaderBytes.value());
+    CHECK_TRUE(limits.idleTimeout == std::chrono::seconds(15));
+    CHECK_FALSE(limits.maximumBodyBytes.has_value());
+    CHECK_FALSE(limits.headerTimeout.has_value());
+}
+
 TEST(PolicyDecoderTest, routesOfUnknownTypeAreNotRepeatable)
 {
     const auto policy = decodePolicy(testDocument).value();
--- a/tests/standins/crashableupstream.cpp
+++ b/tests/standins/crashableupstream.cpp
@@ -75,7 +75,7 @@
     asio::io_context& context, std::string id, std::uint16_t port, const std::string& runLog)
     : context(context)
     , id(std::move(id))
-    , server(context, { "127.0.0.1", port, 1 << 20 },
+    , server(context, { "127.0.0.1", port, 16 << 20 },
           [this](const std::shared_ptr<Web::HttpExchange>& exchange) { this->handle(exchange); })
     , runLogPath(runLog)
     , runLog(runLog, this->id)
--- a/tests/system/uncontrolledclients.cpp
+++ b/tests/system/uncontrolledclients.cpp
@@ -194,7 +194,7 @@
             const std::string id = "ordinary-" + std::to_string(++this->calls);
             Platform::HttpCall call = this->fleet.makeCall(0, id, "/safe/x");
             call.method = "POST";
-            call.body = std::string(10'000, 'x');
+            call.body = std::string(this->plan.ordinaryBodyBytes, 'x');
             const auto answer = this->fetch(std::move(call));
             return !this->fleet.isGatewayAlive(0) || (answer && answer->isSuccess());
         }) && this->fleet.isGatewayAlive(0);
--- a/tests/system/uncontrolledclients.h
+++ b/tests/system/uncontrolledclients.h
@@ -25,6 +25,8 @@
     int memoryMb = 64;
     int descriptors = 200;
     std::size_t bodyLimit = 1 << 20;
+    /** The body of the ordinary request. */
+    std::size_t ordinaryBodyBytes = 10'000;
 };
 
 struct CrowdResult {
