Decide every send of a request to an upstream in the gateway

libcurl sent a request again by itself, up to five times, when reused connections ended before a line of the answer. Nothing counted these sends: a safe call with three attempts reached upstreams 15 times, an upstream that had asked for a pause received requests, and two requests used one ticket at the same time.

HttpTransfers now refuses a second sending by libcurl: the pre-request callback aborts it, and the socket callback refuses the connection that libcurl opens for it, so that nothing is connected. Kept connections are used as before. The gateway sends such a request once more to the same upstream on a new connection; this is a run, is logged, and spends the retry budget, a permit and the cold-start limit. Where it may not be sent there, the usual failover decides. The last run of a request always has a new connection, so a connection that is closed as idle does not cost it. The loss alone is a possible crash; the next connection to the upstream, or a status check, shows whether it has ended. Orders that reserve memory are not resent, as the lease manager must know of each unanswered one.

--- a/src/apps/agent/upstreamclient.cpp
+++ b/src/apps/agent/upstreamclient.cpp
@@ -33,6 +33,9 @@
 {
     HttpCall call { offer.method, this->baseUrl + offer.path, {}, std::move(body), budget };
     call.resend = Platform::Resend::Never;
+    // A reused connection that the upstream closes as idle would cost the call, which may not be sent again.
+    if (call.body.empty())
+        call.connectionUse = Platform::ConnectionUse::Dedicated;
     call.headers.push_back("X-Request-Id: " + offer.request);
     if (!offer.contentType.empty())
         call.headers.push_back("Content-Type: " + offer.contentType);
--- a/src/apps/gateway/dispatcher.cpp
+++ b/src/apps/gateway/dispatcher.cpp
@@ -135,6 +135,16 @@
     this->permits.countRequest(upstreamGeneration);
 }
 
+bool Dispatcher::tryAssignAgain(const Assignment& assignment, const UpstreamCriteria& criteria)
+{
+    const std::vector<const Upstream*> usable = this->usableUpstreams(criteria);
+    const auto found = std::ranges::find(usable, assignment.upstreamGeneration, &Upstream::generationId);
+    if (found == usable.end() || !this->canReceive(**found, criteria, this->clock.now()))
+        return false;
+    this->countRequest(assignment.upstreamGeneration);
+    return true;
+}
+
 std::vector<std::string> Dispatcher::upstreamsThatNeedPermits(const UpstreamCriteria& criteria)
 {
     if (!this->permits.hasLimits())
--- a/src/apps/gateway/dispatcher.h
+++ b/src/apps/gateway/dispatcher.h
@@ -103,6 +103,12 @@
     /** Returns the upstream for a request without a prompt; none if no upstream can accept it. */
     std::optional<Assignment> assignCall(const UpstreamCriteria& criteria);
 
+    /**
+     * Counts another send of an assigned request to its upstream.
+     * @return false, without counting it, if the upstream may not receive it now.
+     */
+    bool tryAssignAgain(const Assignment& assignment, const UpstreamCriteria& criteria);
+
     /**
      * Queues a prompt. One of its callbacks is called later, from schedule().
      * @return an id for withdraw(); 0 if the service does not run on model engines.
--- a/src/apps/gateway/proxiedattempt.cpp
+++ b/src/apps/gateway/proxiedattempt.cpp
@@ -4,6 +4,8 @@
 
 #include <foundation/logging.h>
 
+#include "platform/statuscheck.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -127,12 +129,8 @@
     call.unacknowledgedTimeout = unacknowledgedTimeout;
     call.maximumIdleAge = maximumIdleConnectionAge;
     call.answerId = PlatformAdapter::makeAnswerId(this->request.id);
-    if (!this->route->isRepeatable()) {
-        call.resend = Platform::Resend::Never;
-        call.connectionUse = Platform::ConnectionUse::Dedicated;
-    }
-    // A second copy of the earlier rejection would name this request, too.
-    if (this->rejectingGenerations.contains(assignment.upstreamGeneration))
+    call.resend = Platform::Resend::Never;
+    if (this->needsNewConnection())
         call.connectionUse = Platform::ConnectionUse::Dedicated;
     this->crashEvidence.announce(*this->attempt);
     const std::shared_ptr<ProxiedRequest> self = this->shared_from_this();
@@ -154,6 +152,17 @@
             + " fingerprint=" + this->crashEvidence.fingerprint());
 }
 
+bool ProxiedRequest::needsNewConnection() const
+{
+    // The upstream may close a reused connection as idle when the request arrives on it. That costs a run, as the
+    // request may have begun to run, so no request takes its only or its last run on one.
+    const bool isLastRun = this->runs + 1 >= this->route->maximumRuns;
+    const std::string& generation = this->attempt->assignment.upstreamGeneration;
+    // A second copy of an earlier rejection would name this request, too.
+    return !this->route->isRepeatable() || isLastRun || this->rejectingGenerations.contains(generation)
+        || this->disconnectingGenerations.contains(generation);
+}
+
 void ProxiedRequest::onCallEnded(std::uint64_t attemptNumber, const Platform::HttpCallResult& result)
 {
     const bool isCurrent = this->attempt && attemptNumber == this->currentAttemptNumber;
@@ -171,19 +180,21 @@
         else if (result.outcome == Platform::CallOutcome::NotConnected)
             this->onLateNotConnected(attemptNumber, unconnectedObservation);
         else
-            this->onLateBreak(attemptNumber, result.error);
+            this->onLateBreak(attemptNumber, result);
         return;
     }
     if (result.outcome == Platform::CallOutcome::NotConnected) {
-        this->crashEvidence.withdraw(*this->attempt);
-        this->closeAttempt(unconnectedObservation);
-        this->onAttemptFailed(RunOutcome::NotRun, ResultCode::UpstreamDown, false);
+        this->onNotConnected(unconnectedObservation);
         return;
     }
     if (this->attempt->isRejected()) {
         this->onRejected();
         return;
     }
+    if (result.isKeptConnectionLost) {
+        this->onKeptConnectionLost(result.error);
+        return;
+    }
     if (const std::string defect = findDefect(result, *this->attempt, this->events); !defect.empty()) {
         logEvent(Event::AttemptFinished, this->request.id,
             "upstream=" + this->attempt->assignment.upstreamGeneration + " error=" + defect
@@ -205,6 +216,70 @@
         this->deliverBufferedAnswer();
 }
 
+void ProxiedRequest::onNotConnected(Observation observation)
+{
+    // The loss of a kept connection just before shows that the upstream has ended while it had the request.
+    if (this->disconnectingGenerations.contains(this->attempt->assignment.upstreamGeneration))
+        this->crashEvidence.record(*this->attempt, Quarantine::CrashCertainty::Suspected, "broken");
+    else
+        this->crashEvidence.withdraw(*this->attempt);
+    this->closeAttempt(observation);
+    this->onAttemptFailed(RunOutcome::NotRun, ResultCode::UpstreamDown, false);
+}
+
+void ProxiedRequest::onKeptConnectionLost(std::string_view error)
+{
+    const std::string& generation = this->attempt->assignment.upstreamGeneration;
+    logEvent(Event::AttemptFinished, this->request.id, "upstream=" + generation + " error=" + std::string(error));
+    this->disconnectingGenerations.insert(generation);
+    // The upstream may have closed the connection as idle. The next connection to it shows whether it has ended.
+    this->crashEvidence.record(*this->attempt, Quarantine::CrashCertainty::Possible, "kept connection lost");
+    if (this->sendAgain())
+        return;
+    this->checkLossOfConnection();
+    this->closeAttempt(Observation::Failed);
+    this->onAttemptFailed(RunOutcome::MayHaveRun, ResultCode::AnswerIncomplete, true);
+}
+
+bool ProxiedRequest::sendAgain()
+{
+    // The first send may still use reserved memory, which two sends must not use at the same time.
+    if (this->attempt->memoryReservation != 0)
+        return false;
+    const Relay::RequestProgress progress = this->progressAfter(RunOutcome::MayHaveRun);
+    const Relay::FailoverAction action = Relay::chooseFailoverAction(progress);
+    if (action == Relay::FailoverAction::Fail || !this->trySpendRetry(this->context.clock.now()))
+        return false;
+    if (!this->context.dispatcher.tryAssignAgain(this->attempt->assignment, this->criteria)) {
+        this->giveUnsentRetryBack();
+        return false;
+    }
+    this->runs = progress.runs;
+    this->prepareFailover(action, ResultCode::AnswerIncomplete);
+    const Assignment assignment = this->attempt->assignment;
+    this->beginAttempt(assignment);
+    return true;
+}
+
+void ProxiedRequest::checkLossOfConnection()
+{
+    const Assignment& assignment = this->attempt->assignment;
+    Platform::HttpCall check = PlatformAdapter::makeStatusCheck(assignment.address, assignment.upstream);
+    check.timeout = Relay::longestSoundSilence;
+    check.connectTimeout = connectTimeout;
+    check.connectionUse = Platform::ConnectionUse::Dedicated;
+    this->context.transfers.fetch(std::move(check),
+        [self = this->shared_from_this(), lost = *this->attempt](const Platform::HttpCallResult& result) {
+            const std::string& generation = lost.assignment.upstreamGeneration;
+            if (result.outcome == Platform::CallOutcome::NotConnected) {
+                self->crashEvidence.record(lost, Quarantine::CrashCertainty::Suspected, "broken");
+                self->recordObservation(generation, result.isRefused ? Observation::Refused : Observation::Unreachable);
+            } else if (PlatformAdapter::isAnsweredBy(result, lost.assignment.upstream, generation)) {
+                self->crashEvidence.withdraw(lost);
+            }
+        });
+}
+
 void ProxiedRequest::onRejected()
 {
     this->crashEvidence.withdraw(*this->attempt);
--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -273,6 +273,12 @@
             this->fail(isTimeUp ? ResultCode::DeadlineUnreachable : ResultCode::UpstreamRejected, defaultRetryAfter);
         return;
     }
+    this->prepareFailover(action, code);
+    this->dispatch();
+}
+
+void ProxiedRequest::prepareFailover(FailoverAction action, ResultCode code)
+{
     this->context.metrics.countRetry(code);
     logEvent(action == FailoverAction::Resume ? Event::RequestResumed : Event::RequestRetried, this->request.id,
         std::string("reason=") + std::string(Foundation::resultCodeEntry(code).name)
@@ -282,7 +288,6 @@
         this->events.beginResumedStream();
     else
         this->events.discardPartialEvent();
-    this->dispatch();
 }
 
 void ProxiedRequest::fail(ResultCode code, std::optional<Duration> retryAfter)
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -61,6 +61,8 @@
     /** Returns whether the work of an attempt goes on, which uses the memory reserved for it. */
     bool usesReservedMemory(std::uint64_t attemptNumber) const;
     void sendAttempt(const std::vector<std::string>& leaseNames);
+    /** Returns whether the current attempt must not use a connection that earlier calls left open. */
+    bool needsNewConnection() const;
     PlatformAdapter::ForwardingHeaders makeForwardingHeaders(const std::vector<std::string>& leaseNames) const;
 
     void onAnswerHead(std::uint64_t attemptNumber, const std::string& generation, Foundation::TimePoint sentAt,
@@ -73,7 +75,7 @@
     /** Handles data of an earlier attempt, or the orderly end of its answer. */
     void onLateData(std::uint64_t attemptNumber);
     /** Handles that the connection of an earlier attempt has broken. */
-    void onLateBreak(std::uint64_t attemptNumber, std::string_view error);
+    void onLateBreak(std::uint64_t attemptNumber, const Platform::HttpCallResult& result);
     void logLateBreak(const std::string& generation, std::string_view error) const;
     /** Handles that an earlier attempt has not reached its upstream, so it has not run. */
     void onLateNotConnected(std::uint64_t attemptNumber, Relay::Observation observation);
@@ -112,6 +114,17 @@
     void onAnswerTooLarge();
     /** Ends an attempt that the upstream has rejected without running it. */
     void onRejected();
+    /** Ends an attempt for which no connection could be established. */
+    void onNotConnected(Relay::Observation observation);
+    /** Continues after an attempt whose reused connection ended before the answer. */
+    void onKeptConnectionLost(std::string_view error);
+    /**
+     * Sends the request once more to the upstream of the current attempt, whose reused connection ended.
+     * @return false if it may not be sent there.
+     */
+    bool sendAgain();
+    /** Asks an upstream that lost a kept connection whether it goes on, which decides whether it may have crashed. */
+    void checkLossOfConnection();
     void beginStream();
     void recordFirstEvent();
     /** Returns why the answer that has arrived is not complete; empty if it is complete. */
@@ -133,6 +146,8 @@
     /** Returns the progress that the request has if its attempt ends with this outcome. */
     Relay::RequestProgress progressAfter(Foundation::RunOutcome outcome) const;
     void onAttemptFailed(Foundation::RunOutcome outcome, Foundation::ResultCode code, bool hasReachedUpstream);
+    /** Logs and counts that the request is sent again, and prepares its stream for that. */
+    void prepareFailover(Relay::FailoverAction action, Foundation::ResultCode code);
     void performFailoverAction(Relay::FailoverAction action, Foundation::ResultCode code);
     void fail(Foundation::ResultCode code, std::optional<Foundation::Duration> retryAfter);
     void onCallerGone();
@@ -192,6 +207,8 @@
     int sends = 0;
     /** The generations that have rejected this request. */
     std::set<std::string> rejectingGenerations;
+    /** The generations at which a reused connection ended before the answer. */
+    std::set<std::string> disconnectingGenerations;
     /** When a unit of the retry budget was spent for the next send; none if that needs none or was sent. */
     std::optional<Foundation::TimePoint> unsentRetrySpentAt;
     bool hasStreamBegun = false;
--- a/src/apps/gateway/proxiedsilence.cpp
+++ b/src/apps/gateway/proxiedsilence.cpp
@@ -48,12 +48,15 @@
     this->context.onSilenceEnded(watched->generation);
 }
 
-void ProxiedRequest::onLateBreak(std::uint64_t attemptNumber, std::string_view error)
+void ProxiedRequest::onLateBreak(std::uint64_t attemptNumber, const Platform::HttpCallResult& result)
 {
+    // An upstream that was silent closes kept connections as idle before it reads what has come on them.
+    const bool mayBeIdle = result.isKeptConnectionLost;
     if (const auto broken = this->takeParkedAttempt(attemptNumber)) {
-        this->logLateBreak(broken->attempt.assignment.upstreamGeneration, error);
-        this->crashEvidence.record(broken->attempt, Quarantine::CrashCertainty::Suspected, "broken");
-        this->releaseAttempt(broken->attempt, Observation::Broken);
+        this->logLateBreak(broken->attempt.assignment.upstreamGeneration, result.error);
+        this->crashEvidence.record(broken->attempt,
+            mayBeIdle ? Quarantine::CrashCertainty::Possible : Quarantine::CrashCertainty::Suspected, "broken");
+        this->releaseAttempt(broken->attempt, mayBeIdle ? Observation::Failed : Observation::Broken);
         return;
     }
     const auto found = this->watchedCalls.find(attemptNumber);
@@ -63,8 +66,9 @@
     this->watchedCalls.erase(found);
     if (!watched)
         return;
-    this->logLateBreak(watched->generation, error);
-    this->context.onSilentCrash(*watched);
+    this->logLateBreak(watched->generation, result.error);
+    if (!mayBeIdle)
+        this->context.onSilentCrash(*watched);
 }
 
 void ProxiedRequest::logLateBreak(const std::string& generation, std::string_view error) const
--- a/src/libs/platform/httptransfers.cpp
+++ b/src/libs/platform/httptransfers.cpp
@@ -42,7 +42,6 @@
     std::unique_ptr<curl_slist, ListDeleter> headerList;
     asio::io_context* context = nullptr;
     HttpCallResult result;
-    std::size_t sentBodyBytes = 0;
     std::size_t headBytes = 0;
     /** Whether the line that ends the head of the final answer was received. */
     bool isHeadComplete = false;
@@ -56,6 +55,12 @@
     std::function<void(std::string part)> deliver;
     /** Whether a connection was established on which libcurl began to send the call. */
     bool wasSent = false;
+    /** Whether the current handle has begun to send the call; it must not do so again. */
+    bool wasSentByHandle = false;
+    /** Whether the connection on which the current handle sent the call was used before. */
+    bool isConnectionUsed = false;
+    /** Whether libcurl tried to send the call a second time by itself. */
+    bool isLibraryResendRefused = false;
     /** Whether the call was sent again on a new connection. */
     bool isResent = false;
 };
@@ -115,10 +120,10 @@
     return std::from_chars(text.data(), text.data() + text.size(), length).ec != std::errc();
 }
 
-bool isOnUsedConnection(const Transfer& transfer)
+bool hasReusedConnection(CURL* easy)
 {
     long newConnections = 0;
-    curl_easy_getinfo(transfer.easy.get(), CURLINFO_NUM_CONNECTS, &newConnections);
+    curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &newConnections);
     return newConnections == 0;
 }
 
@@ -128,7 +133,7 @@
     if (expected.name.empty())
         return true;
     const std::string_view named = findHeader(transfer, expected.name);
-    return named.empty() ? !isOnUsedConnection(transfer) : named == expected.value;
+    return named.empty() ? !transfer.isConnectionUsed : named == expected.value;
 }
 
 void deliverHead(const Transfer& transfer)
@@ -138,7 +143,7 @@
     asio::post(*transfer.context,
         [onHead = transfer.handlers.onHead,
             head = HttpAnswerHead { answerStatus(transfer.easy.get()), answerContentType(transfer.easy.get()),
-                transfer.result.headers, framingOf(transfer), isOnUsedConnection(transfer) }]() mutable {
+                transfer.result.headers, framingOf(transfer), transfer.isConnectionUsed }]() mutable {
             onHead(std::move(head));
         });
 }
@@ -177,9 +182,18 @@
     return line.size();
 }
 
+// Called for each new connection of a call.
 int setSocketOptions(void* user, curl_socket_t socket, curlsocktype)
 {
-    const unsigned timeoutMs = static_cast<unsigned>(static_cast<Transfer*>(user)->call.unacknowledgedTimeout.count());
+    auto& transfer = *static_cast<Transfer*>(user);
+    // libcurl opens a second connection for a call only to send it again.
+    if (transfer.wasSentByHandle) {
+        transfer.isLibraryResendRefused = true;
+        return CURL_SOCKOPT_ERROR;
+    }
+    if (transfer.call.unacknowledgedTimeout.count() == 0)
+        return CURL_SOCKOPT_OK;
+    const unsigned timeoutMs = static_cast<unsigned>(transfer.call.unacknowledgedTimeout.count());
     // A failure is ignored: the timeout of the call also detects a lost connection, only later.
     setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeoutMs, sizeof(timeoutMs));
     return CURL_SOCKOPT_OK;
@@ -205,20 +219,28 @@
     return bytes;
 }
 
-std::size_t provideBody(char* buffer, std::size_t size, std::size_t count, void* user)
+// Called before each sending of a call.
+int onBeforeSend(void* user, char*, char*, int, int)
 {
     auto& transfer = *static_cast<Transfer*>(user);
-    const std::string_view rest = std::string_view(transfer.call.body).substr(transfer.sentBodyBytes);
-    const std::size_t bytes = std::min(rest.size(), size * count);
-    rest.copy(buffer, bytes);
-    transfer.sentBodyBytes += bytes;
-    return bytes;
+    if (transfer.wasSentByHandle) {
+        transfer.isLibraryResendRefused = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
+    transfer.wasSent = true;
+    transfer.wasSentByHandle = true;
+    transfer.isConnectionUsed = hasReusedConnection(transfer.easy.get());
+    // Without it, libcurl would take a further pooled connection for a second sending, which is then closed unused.
+    curl_easy_setopt(transfer.easy.get(), CURLOPT_FRESH_CONNECT, 1L);
+    return CURL_PREREQFUNC_OK;
 }
 
-int onBeforeSend(void* user, char*, char*, int, int)
+// Returns whether a reused connection ended before a line of the answer arrived. libcurl sends such a call again by
+// itself unless it failed to send a long body.
+bool isKeptConnectionLost(CURLcode code, const Transfer& transfer)
 {
-    static_cast<Transfer*>(user)->wasSent = true;
-    return CURL_PREREQFUNC_OK;
+    return transfer.wasSentByHandle && transfer.isConnectionUsed && transfer.headBytes == 0
+        && (transfer.isLibraryResendRefused || code == CURLE_SEND_ERROR);
 }
 
 // Returns why an answer that libcurl takes as complete is not; empty if it is complete.
@@ -253,31 +275,16 @@
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
 }
 
-// libcurl sends a call again by itself when a reused connection breaks before the first byte of the answer. It cannot
-// do so after it has read a part of the body from a callback that does not rewind. A call without a body needs a
-// dedicated connection instead.
-void forbidResend(Transfer& transfer)
-{
-    CURL* const easy = transfer.easy.get();
-    curl_easy_setopt(easy, CURLOPT_READFUNCTION, &provideBody);
-    curl_easy_setopt(easy, CURLOPT_READDATA, &transfer);
-    if (transfer.call.body.empty())
-        useDedicatedConnection(easy);
-}
-
 void setBody(Transfer& transfer)
 {
     const HttpCall& call = transfer.call;
     CURL* const easy = transfer.easy.get();
     const bool hasBody = !call.body.empty() || call.method == "POST" || call.method == "PUT" || call.method == "PATCH";
-    if (hasBody) {
-        curl_easy_setopt(easy, CURLOPT_POST, 1L);
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body.size()));
-    }
-    if (call.resend == Resend::Never)
-        forbidResend(transfer);
-    else if (hasBody)
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+    if (!hasBody)
+        return;
+    curl_easy_setopt(easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(call.body.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
 }
 
 void setOptions(Transfer& transfer)
@@ -294,10 +301,8 @@
     curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, uploadBufferBytes);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &onHeader);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
-    if (call.unacknowledgedTimeout.count() > 0) {
-        curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &setSocketOptions);
-        curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &transfer);
-    }
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &setSocketOptions);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &transfer);
     if (call.connectionUse == ConnectionUse::Dedicated)
         useDedicatedConnection(easy);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &onBeforeSend);
@@ -323,6 +328,8 @@
 {
     if (code == CURLE_OK)
         return std::string(findDefect(transfer));
+    if (isKeptConnectionLost(code, transfer))
+        return "the reused connection ended before the answer";
     return transfer.abortReason.empty() ? curl_easy_strerror(code) : std::string(transfer.abortReason);
 }
 
@@ -332,6 +339,7 @@
     transfer.result.status = answerStatus(transfer.easy.get());
     transfer.result.contentType = answerContentType(transfer.easy.get());
     transfer.result.error = errorText(code, transfer);
+    transfer.result.isKeptConnectionLost = isKeptConnectionLost(code, transfer);
     transfer.result.isRefused
         = code == CURLE_COULDNT_CONNECT && !transfer.wasSent && connectError(transfer.easy.get()) == ECONNREFUSED;
     asio::post(
@@ -538,17 +546,17 @@
         }
     }
 
-    // libcurl resends a call when it fails to receive on a reused connection that was closed as idle, but not when it
-    // fails to send a long body on it.
-    bool resendIfClosedAsIdle(Transfer& transfer, CURLcode code)
+    bool resendIfKeptConnectionLost(Transfer& transfer, CURLcode code)
     {
-        CURL* const easy = transfer.easy.get();
-        if (code != CURLE_SEND_ERROR || !isOnUsedConnection(transfer) || transfer.isResent || transfer.headBytes > 0
-            || transfer.call.resend == Resend::Never)
+        if (transfer.call.resend == Resend::Never || transfer.isResent || !isKeptConnectionLost(code, transfer))
             return false;
+        CURL* const easy = transfer.easy.get();
         curl_off_t elapsedMicroseconds = 0;
         curl_easy_getinfo(easy, CURLINFO_TOTAL_TIME_T, &elapsedMicroseconds);
         transfer.isResent = true;
+        transfer.wasSentByHandle = false;
+        transfer.isConnectionUsed = false;
+        transfer.isLibraryResendRefused = false;
         transfer.call.timeout -= std::chrono::microseconds(elapsedMicroseconds);
         curl_multi_remove_handle(this->multi, easy);
         transfer.easy.reset(curl_easy_init());
@@ -560,7 +568,7 @@
 
     void finish(Transfer& transfer, CURLcode code)
     {
-        if (this->resendIfClosedAsIdle(transfer, code))
+        if (this->resendIfKeptConnectionLost(transfer, code))
             return;
         deliverResult(transfer, code);
         curl_multi_remove_handle(this->multi, transfer.easy.get());
--- a/src/libs/platform/httptransfers.h
+++ b/src/libs/platform/httptransfers.h
@@ -15,7 +15,10 @@
 
 namespace Platform {
 
-/** Whether libcurl may send a call again when a reused connection breaks before the answer. */
+/**
+ * Whether a call is sent once more, on a new connection, after the connection that it reused ended before any answer.
+ * The server may have closed that connection as idle, or may have begun to run the call.
+ */
 enum class Resend : std::uint8_t {
     Allowed,
     Never,
@@ -98,6 +101,8 @@
     std::string error;
     /** Whether no connection was established because the address refused it, and not for want of an answer. */
     bool isRefused = false;
+    /** Whether the call was lost because the connection that it reused ended before a line of the answer arrived. */
+    bool isKeptConnectionLost = false;
 
     /** Returns whether a complete answer with a status of 200 to 299 arrived. */
     bool isSuccess() const
@@ -117,7 +122,8 @@
 
 /**
  * Makes HTTP calls through libcurl on the one thread of the given context. A separate thread for libcurl cost two more
- * thread switches per call.
+ * thread switches per call. libcurl never sends a call a second time by itself: it would do so up to five times when
+ * reused connections end, and nothing would count these sends.
  */
 class HttpTransfers {
 public:
