Excuse one send that an upstream most likely did not read

The system resets a connection that is closed with unread data, at once. One such send of a request, repeated at the same upstream, now allows one more run. It still counts as a run that may have happened, as a send, and for the retry budget and limits.

--- a/src/apps/gateway/proxiedanswer.cpp
+++ b/src/apps/gateway/proxiedanswer.cpp
@@ -223,7 +223,7 @@
 bool ProxiedRequest::shouldRetryFailedAnswer() const
 {
     const bool isFailure = this->attempt->head->status >= firstServerErrorStatus || !this->attempt->headers.isSigned;
-    return isFailure && this->route->isRepeatable() && this->runs + 1 < this->route->maximumRuns
+    return isFailure && this->route->isRepeatable() && this->runs + 1 < this->maximumRuns()
         && this->timeLeft() > 2 * this->route->firstEventTarget;
 }
 
--- a/src/apps/gateway/proxiedattempt.cpp
+++ b/src/apps/gateway/proxiedattempt.cpp
@@ -156,7 +156,7 @@
 {
     // The upstream may close a reused connection as idle when the request arrives on it. That costs a run, as the
     // request may have begun to run, so no request takes its only or its last run on one.
-    const bool isLastRun = this->runs + 1 >= this->route->maximumRuns;
+    const bool isLastRun = this->runs + 1 >= this->maximumRuns();
     const std::string& generation = this->attempt->assignment.upstreamGeneration;
     // A second copy of an earlier rejection would name this request, too.
     return !this->route->isRepeatable() || isLastRun || this->rejectingGenerations.contains(generation)
@@ -192,7 +192,7 @@
         return;
     }
     if (result.isKeptConnectionLost) {
-        this->onKeptConnectionLost(result.error);
+        this->onKeptConnectionLost(result);
         return;
     }
     if (const std::string defect = findDefect(result, *this->attempt, this->events); !defect.empty()) {
@@ -227,26 +227,29 @@
     this->onAttemptFailed(RunOutcome::NotRun, ResultCode::UpstreamDown, false);
 }
 
-void ProxiedRequest::onKeptConnectionLost(std::string_view error)
+void ProxiedRequest::onKeptConnectionLost(const Platform::HttpCallResult& result)
 {
     const std::string& generation = this->attempt->assignment.upstreamGeneration;
-    logEvent(Event::AttemptFinished, this->request.id, "upstream=" + generation + " error=" + std::string(error));
+    logEvent(Event::AttemptFinished, this->request.id, "upstream=" + generation + " error=" + result.error);
     this->disconnectingGenerations.insert(generation);
     // The upstream may have closed the connection as idle. The next connection to it shows whether it has ended.
     this->crashEvidence.record(*this->attempt, Quarantine::CrashCertainty::Possible, "kept connection lost");
-    if (this->sendAgain())
+    if (this->sendAgain(result.isLikelyUnread))
         return;
     this->checkLossOfConnection();
     this->closeAttempt(Observation::Failed);
     this->onAttemptFailed(RunOutcome::MayHaveRun, ResultCode::AnswerIncomplete, true);
 }
 
-bool ProxiedRequest::sendAgain()
+bool ProxiedRequest::sendAgain(bool isLikelyUnread)
 {
     // The first send may still use reserved memory, which two sends must not use at the same time.
     if (this->attempt->memoryReservation != 0)
         return false;
-    const Relay::RequestProgress progress = this->progressAfter(RunOutcome::MayHaveRun);
+    Relay::RequestProgress progress = this->progressAfter(RunOutcome::MayHaveRun);
+    // The request then still runs at no more upstreams than allowed, and at one of them it was most likely not read.
+    const bool isExcused = isLikelyUnread && this->unreadSends == 0;
+    progress.maximumRuns += isExcused ? 1 : 0;
     const Relay::FailoverAction action = Relay::chooseFailoverAction(progress);
     if (action == Relay::FailoverAction::Fail || !this->trySpendRetry(this->context.clock.now()))
         return false;
@@ -255,6 +258,7 @@
         return false;
     }
     this->runs = progress.runs;
+    this->unreadSends += isExcused ? 1 : 0;
     this->prepareFailover(action, ResultCode::AnswerIncomplete);
     const Assignment assignment = this->attempt->assignment;
     this->beginAttempt(assignment);
--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -241,7 +241,7 @@
     progress.hasDelivered = this->hasStreamBegun;
     progress.canResume = !this->events.lastEventId().empty();
     progress.runs = this->runs + (outcome == RunOutcome::NotRun ? 0 : 1);
-    progress.maximumRuns = this->route->maximumRuns;
+    progress.maximumRuns = this->maximumRuns();
     progress.sends = this->sends;
     progress.timeLeft = this->timeLeft();
     return progress;
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -117,12 +117,15 @@
     /** Ends an attempt for which no connection could be established. */
     void onNotConnected(Relay::Observation observation);
     /** Continues after an attempt whose reused connection ended before the answer. */
-    void onKeptConnectionLost(std::string_view error);
+    void onKeptConnectionLost(const Platform::HttpCallResult& result);
     /**
      * Sends the request once more to the upstream of the current attempt, whose reused connection ended.
+     * @param isLikelyUnread whether the upstream has most likely not read the first send.
      * @return false if it may not be sent there.
      */
-    bool sendAgain();
+    bool sendAgain(bool isLikelyUnread);
+    /** Returns how often the request may have run at most, at its end. */
+    int maximumRuns() const { return this->route->maximumRuns + this->unreadSends; }
     /** Asks an upstream that lost a kept connection whether it goes on, which decides whether it may have crashed. */
     void checkLossOfConnection();
     void beginStream();
@@ -209,6 +212,8 @@
     std::set<std::string> rejectingGenerations;
     /** The generations at which a reused connection ended before the answer. */
     std::set<std::string> disconnectingGenerations;
+    /** Sends that were most likely not read and were repeated at the same upstream. They count as runs, too. */
+    int unreadSends = 0;
     /** When a unit of the retry budget was spent for the next send; none if that needs none or was sent. */
     std::optional<Foundation::TimePoint> unsentRetrySpentAt;
     bool hasStreamBegun = false;
--- a/src/libs/platform/httptransfers.cpp
+++ b/src/libs/platform/httptransfers.cpp
@@ -21,6 +21,9 @@
 // All heads of an answer together, the interim ones (1xx) included. Servers commonly limit a head to 8 or 16 KB.
 constexpr std::size_t maximumHeadBytes = 128 * 1024;
 constexpr int firstFinalStatus = 200;
+// A server closes an idle connection without having begun to handle a call that arrives just then. A later reset may as
+// well end a call that runs. Allows for a round trip between distant domains.
+constexpr curl_off_t unreadResetMicroseconds = 50'000;
 // No more is read of an answer while this much of it waits for its handler, so that a fast answer neither fills the
 // memory nor holds up the other calls for long.
 constexpr std::size_t maximumUndeliveredBytes = 64 * 1024;
@@ -79,8 +82,8 @@
     return static_cast<int>(status);
 }
 
-// Returns the errno of the last connection attempt.
-long connectError(CURL* easy)
+// Returns the errno of the last operation on a socket that failed.
+long socketError(CURL* easy)
 {
     long error = 0;
     curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &error);
@@ -243,6 +246,17 @@
         && (transfer.isLibraryResendRefused || code == CURLE_SEND_ERROR);
 }
 
+// A call that libcurl failed to send was not received as a whole.
+bool isLikelyUnread(CURLcode code, const Transfer& transfer)
+{
+    curl_off_t elapsedMicroseconds = 0;
+    curl_easy_getinfo(transfer.easy.get(), CURLINFO_TOTAL_TIME_T, &elapsedMicroseconds);
+    const bool isResetAtOnce
+        = socketError(transfer.easy.get()) == ECONNRESET && elapsedMicroseconds < unreadResetMicroseconds;
+    return isKeptConnectionLost(code, transfer)
+        && (isResetAtOnce || (code == CURLE_SEND_ERROR && !transfer.isLibraryResendRefused));
+}
+
 // Returns why an answer that libcurl takes as complete is not; empty if it is complete.
 std::string_view findDefect(const Transfer& transfer)
 {
@@ -340,8 +354,9 @@
     transfer.result.contentType = answerContentType(transfer.easy.get());
     transfer.result.error = errorText(code, transfer);
     transfer.result.isKeptConnectionLost = isKeptConnectionLost(code, transfer);
+    transfer.result.isLikelyUnread = isLikelyUnread(code, transfer);
     transfer.result.isRefused
-        = code == CURLE_COULDNT_CONNECT && !transfer.wasSent && connectError(transfer.easy.get()) == ECONNREFUSED;
+        = code == CURLE_COULDNT_CONNECT && !transfer.wasSent && socketError(transfer.easy.get()) == ECONNREFUSED;
     asio::post(
         *transfer.context, [onEnd = std::move(transfer.handlers.onEnd), result = std::move(transfer.result)]() mutable {
             onEnd(std::move(result));
--- a/src/libs/platform/httptransfers.h
+++ b/src/libs/platform/httptransfers.h
@@ -103,6 +103,11 @@
     bool isRefused = false;
     /** Whether the call was lost because the connection that it reused ended before a line of the answer arrived. */
     bool isKeptConnectionLost = false;
+    /**
+     * Whether that connection was reset at once, as the system does when a server closes a connection with data that it
+     * has not read. Such a call has most likely not run, but a server can also reset a connection after it has read it.
+     */
+    bool isLikelyUnread = false;
 
     /** Returns whether a complete answer with a status of 200 to 299 arrived. */
     bool isSuccess() const
