Release the memory of a run whose answer is lost

An attempt that must not run again was kept, and its leases renewed, until its caller left, although its run was over and only the answer had been lost. Memory elsewhere was held for 9.1 s after the run, where 4 s are allowed.

Memory now waits for the answer no longer than three seconds beyond the silence that the work explains: the expected first event, or the event gap. Then the attempt ends and its memory is released. It counts as no crash, since the upstream goes on.

--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -396,7 +396,7 @@
             this->onRejected();
         return;
     }
-    if (this->attempt->doubtfulSince
+    if (this->attempt->doubtfulSince || this->silenceLimits().isAnswerLost(*this->attempt, now)
         || (!this->attempt->isPaused && this->silenceLimits().isUpstreamSilent(*this->attempt, now)))
         this->handleSilence(now);
 }
--- a/src/apps/gateway/silencelimits.cpp
+++ b/src/apps/gateway/silencelimits.cpp
@@ -36,11 +36,22 @@
         .isUpstreamDoubtful = this->isUpstreamDoubtful(silent),
         .doubt = now - silent.doubtfulSince.value_or(now),
         .holdsMemoryElsewhere = silent.memoryReservation != 0,
+        .memorySilence = this->answerSilence(silent) + Relay::memoryWaitBeyondAnswer,
         .isPaused = silent.isPaused,
         .failover = failover,
         .canQueue = this->context.dispatcher.isEngineService(service) };
 }
 
+bool SilenceLimits::isAnswerLost(const Attempt& silent, TimePoint now) const
+{
+    return Relay::isAnswerLost(this->describe(silent, now, FailoverAction::Fail, {}));
+}
+
+Duration SilenceLimits::answerSilence(const Attempt& silent) const
+{
+    return silent.isPrefilling ? silent.assignment.expectedFirstEventDelay : this->route.eventGapTarget;
+}
+
 bool SilenceLimits::isUpstreamDoubtful(const Attempt& silent) const
 {
     const std::string& generation = silent.assignment.upstreamGeneration;
--- a/src/apps/gateway/silencelimits.h
+++ b/src/apps/gateway/silencelimits.h
@@ -38,7 +38,13 @@
     /** Returns how long a listed upstream may stay silent. */
     Foundation::Duration inactivityTimeout(const Attempt& silent) const;
 
+    /** Returns whether memory that is reserved elsewhere must not wait for the answer of an attempt any longer. */
+    bool isAnswerLost(const Attempt& silent, Foundation::TimePoint now) const;
+
 private:
+    /** Returns the silence that the work of an attempt explains. */
+    Foundation::Duration answerSilence(const Attempt& silent) const;
+
     const ProxyContext& context;
     const Policy::Route& route;
 };
--- a/src/libs/relay/silencedecision.cpp
+++ b/src/libs/relay/silencedecision.cpp
@@ -10,6 +10,11 @@
     return isLate || (attempt.holdsMemoryElsewhere && attempt.doubt >= longestSoundSilence);
 }
 
+bool isAnswerLost(const SilentAttempt& attempt)
+{
+    return attempt.holdsMemoryElsewhere && !attempt.isPaused && attempt.silence >= attempt.memorySilence;
+}
+
 Foundation::TimePoint crashSuspectedFrom(Foundation::TimePoint lastDataAt, Foundation::Duration crashSilence,
     std::optional<Foundation::TimePoint> lastUpstreamDataAt)
 {
--- a/src/libs/relay/silencedecision.h
+++ b/src/libs/relay/silencedecision.h
@@ -11,6 +11,12 @@
 
 namespace Relay {
 
+/**
+ * How long memory that is reserved elsewhere waits for the answer beyond the time at which it was expected. The memory
+ * must be free 4 s after the run that used it has ended; a second is left for the check and the order.
+ */
+constexpr Foundation::Duration memoryWaitBeyondAnswer = std::chrono::seconds(3);
+
 /**
  * How long a sound upstream may send nothing beyond what its work takes. Upstreams may fall silent for a second or so
  * and go on; this is twice that.
@@ -55,6 +61,9 @@
     Foundation::Duration doubt {};
     /** Whether other upstreams reserve memory for the attempt. */
     bool holdsMemoryElsewhere = false;
+    /** The silence after which the run has most likely ended and its answer is lost; memory elsewhere waits no longer.
+     */
+    Foundation::Duration memorySilence = Foundation::Duration::max();
     /** Whether the stream is not read until its caller has received more of it, so that its silence says nothing. */
     bool isPaused = false;
     /** How the request goes on if the attempt ends. */
@@ -77,16 +86,22 @@
  */
 bool hasUpstreamEnded(const SilentAttempt& attempt);
 
+/**
+ * Returns whether memory that is reserved elsewhere must not wait for the answer of an attempt any longer: its upstream
+ * goes on, but its run has most likely ended, and the answer is lost.
+ */
+bool isAnswerLost(const SilentAttempt& attempt);
+
 /**
  * Decides what to do about an attempt that is silent, or paused for its caller. Silence alone never ends an attempt
- * that cannot go on elsewhere.
+ * that cannot go on elsewhere, unless memory is reserved elsewhere for it.
  * @param hasRoom returns whether another upstream could take the request now, or resume the stream in time.
  * @param spendRetry takes a unit of the retry budget and returns whether there was one.
  */
 template <std::predicate HasRoom, std::predicate SpendRetry>
 SilenceDecision decideOnSilence(const SilentAttempt& attempt, HasRoom hasRoom, SpendRetry spendRetry)
 {
-    const bool hasEnded = hasUpstreamEnded(attempt);
+    const bool hasEnded = hasUpstreamEnded(attempt) || isAnswerLost(attempt);
     if (attempt.isPaused)
         return { hasEnded ? SilenceAction::Release : SilenceAction::Wait, KeepReason::None };
     const Foundation::Duration limit = attempt.isUpstreamDoubtful ? attempt.expectedSilence : attempt.inactivityTimeout;
--- a/tests/auto/gateway/tst_lostconnections.cpp
+++ b/tests/auto/gateway/tst_lostconnections.cpp
@@ -219,3 +219,32 @@
         this->runFor(48ms + std::chrono::microseconds(100 * i));
     }
 }
+
+// Memory must be free 4 s after the run that used it has ended. The run lasts less than a second here.
+TEST(LostConnectionsTest, memoryIsNotKeptForARunWhoseAnswerWasLost)
+{
+    // No engine has the memory for the prompt alone.
+    nlohmann::json document = nlohmann::json::parse(this->document);
+    document["services"][1]["engine"]["kv_capacity"] = 10'000;
+    for (nlohmann::json& route : document["routes"]) {
+        if (route["name"] == "stream") {
+            route["resumable"] = false;
+            route["timeout_ms"] = 9'000;
+        }
+    }
+    this->document = document.dump();
+    this->promptTokens = 10'000;
+    this->callerTimeout = 9s;
+    this->startWith("llm", this->upstreams.size());
+    for (DisconnectingUpstream& upstream : this->upstreams)
+        upstream.losesAnswers = true;
+    const auto sentAt = std::chrono::steady_clock::now();
+    this->send("/stream/x", std::make_shared<Answer>(), "POST");
+    this->runFor(8s);
+    auto lastReservedAt = sentAt;
+    for (const DisconnectingUpstream& upstream : this->upstreams)
+        lastReservedAt = std::max(lastReservedAt, upstream.lastReservedAt);
+    CHECK_TRUE(lastReservedAt > sentAt);
+    CHECK_TRUE(lastReservedAt < sentAt + 4s);
+    LONGS_EQUAL(1, this->takeArrivals());
+}
--- a/tests/auto/relay/tst_silencedecision.cpp
+++ b/tests/auto/relay/tst_silencedecision.cpp
@@ -152,6 +152,18 @@
 }
 
 // What its upstream has sent before is still delivered to its caller.
+// The upstream goes on, but the answer of the run was lost, and it must not run again.
+TEST(SilenceDecisionTest, memoryElsewhereIsNotKeptForAnAnswerThatIsLost)
+{
+    SilentAttempt attempt = makeLongPrefill(5s, std::nullopt);
+    attempt.memorySilence = 5s + 1ms;
+    CHECK_TRUE(decideOnSilence(attempt, yes, yes).action != SilenceAction::End);
+    attempt.memorySilence = 5s;
+    CHECK_TRUE(decideOnSilence(attempt, yes, yes).action == SilenceAction::End);
+    attempt.holdsMemoryElsewhere = false;
+    CHECK_TRUE(decideOnSilence(attempt, yes, yes).action != SilenceAction::End);
+}
+
 TEST(SilenceDecisionTest, aPausedStreamIsNeitherEndedNorFailedOver)
 {
     CHECK_TRUE(rc::check([] {
--- a/tests/standins/disconnectingupstream.cpp
+++ b/tests/standins/disconnectingupstream.cpp
@@ -70,7 +70,10 @@
                 [this, connection, request](const asio::error_code& readError, std::size_t) {
                     if (readError)
                         return;
-                    connection->received.consume(request.bodyBytes());
+                    std::string body(request.bodyBytes(), ' ');
+                    connection->received.sgetn(body.data(), static_cast<std::streamsize>(body.size()));
+                    if (body.find("\"reserve\"") != std::string::npos)
+                        this->lastReservedAt = std::chrono::steady_clock::now();
                     this->handle(connection, request);
                 });
         });
@@ -79,11 +82,16 @@
 void DisconnectingUpstream::handle(const std::shared_ptr<Connection>& connection, const RawRequest& request)
 {
     const bool isUsed = connection->requestCount++ > 0;
-    if (request.path == "/report") {
+    if (request.path == "/report" || request.path == "/order") {
         this->answer(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
         return;
     }
     this->requests.push_back(request);
+    if (this->losesAnswers) {
+        // Waits for its caller to leave.
+        this->readRequest(connection);
+        return;
+    }
     if (this->ending && (isUsed || !this->endsUsedOnly)) {
         this->end(connection, *this->ending);
         return;
--- a/tests/standins/disconnectingupstream.h
+++ b/tests/standins/disconnectingupstream.h
@@ -39,9 +39,13 @@
     std::chrono::microseconds idleTimeout { 0 };
     /** How long an answer takes. */
     std::chrono::milliseconds work { 0 };
+    /** Whether it runs requests, but sends no answers. */
+    bool losesAnswers = false;
+    /** When it last received an order that reserves memory, renewals included. */
+    std::chrono::steady_clock::time_point lastReservedAt {};
     /** The Retry-After header of its rejections; it answers requests if empty. */
     std::string pause;
-    /** The requests that it has read, status checks not included. */
+    /** The requests that it has read, status checks and orders not included. */
     std::vector<RawRequest> requests;
     int connectionCount = 0;
 
