--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -241,7 +241,7 @@
     progress.hasDelivered = this->hasStreamBegun;
     progress.canResume = !this->events.lastEventId().empty();
     progress.runs = this->runs + (outcome == RunOutcome::NotRun ? 0 : 1);
-    progress.maximumRuns = this->route->maximumRuns;
+    progress.maximumRuns = this->maximumRuns();
     progress.sends = this->sends;
     progress.timeLeft = this->timeLeft();
     return progress;
@@ -273,6 +273,12 @@
             this->fail(isTimeUp ? ResultCode::DeadlineUnreachable : ResultCode::UpstreamRejected, defaultRetryAfter);
         return;
     }
+    this->prepareFailover(action, code);
+    this->dispatch();
+}
+
+void ProxiedRequest::prepareFailover(FailoverAction action, ResultCode code)
+{
     this->context.metrics.countRetry(code);
     logEvent(action == FailoverAction::Resume ? Event::RequestResumed : Event::RequestRetried, this->request.id,
         std::string("reason=") + std::string(Foundation::resultCodeEntry(code).name)
@@ -282,7 +288,6 @@
         this->events.beginResumedStream();
     else
         this->events.discardPartialEvent();
-    this->dispatch();
 }
 
 void ProxiedRequest::fail(ResultCode code, std::optional<Duration> retryAfter)
@@ -391,7 +396,7 @@
             this->onRejected();
         return;
     }
-    if (this->attempt->doubtfulSince
+    if (this->attempt->doubtfulSince || this->silenceLimits().isAnswerLost(*this->attempt, now)
         || (!this->attempt->isPaused && this->silenceLimits().isUpstreamSilent(*this->attempt, now)))
         this->handleSilence(now);
 }
