Place short prompts as in a crowd while the number of gateways is unknown

A gateway that has just started counted only itself until it had read the list of gateways or heard hellos. The rule of crowdPlacement "auto" therefore found no crowd, and all gateways filled the same engines after a common restart. Each hello also restarted the sequence of draws.

With seeds in its settings, a process now takes the membership as unknown until the store's list has been read, or hellos from as many gateways as there are seeds have come and no others for a second. Until then it decides without peer load, and assumes the smallest number of gateways with which crowds are regarded. The sequence of draws continues when the count changes.

Not measured on a whole deployment.

--- a/src/apps/gateway/crowdplacement.cpp
+++ b/src/apps/gateway/crowdplacement.cpp
@@ -3,6 +3,7 @@
 #include <foundation/identifier.h>
 #include <foundation/logging.h>
 
+#include <algorithm>
 #include <cmath>
 #include <string>
 
@@ -21,6 +22,9 @@
 // A crowd has ended when this process has placed no prompt by its rules for this time. It also bounds how often the
 // event is logged.
 constexpr Duration crowdEndTime = std::chrono::seconds(1);
+// Gateways that start together connect to each other within a second. If no hello has come from a further one for this
+// time, those that are known are taken to be all.
+constexpr Duration membershipSettlingTime = std::chrono::seconds(1);
 
 } // namespace
 
@@ -37,10 +41,21 @@
 void CrowdPlacement::setProcesses(std::size_t count, std::size_t rank)
 {
     this->arrivals.setProcessCount(count);
-    // Gateways that begin at evenly spaced positions choose different engines even without load updates.
-    if (count > 1 && count != this->processCount)
-        this->nextDraw = static_cast<double>(rank) / static_cast<double>(count);
+    if (count == this->processCount)
+        return;
     this->processCount = count;
+    this->lastCountChange = this->clock.now();
+    // Gateways that begin at evenly spaced positions choose different engines even without load updates. A sequence
+    // that has begun is not restarted, since it would choose its first engines again.
+    if (count > 1 && !this->hasDrawn)
+        this->nextDraw = static_cast<double>(rank) / static_cast<double>(count);
+}
+
+bool CrowdPlacement::isMembershipKnown() const
+{
+    if (this->isMembershipListed || this->seedCount == 0)
+        return true;
+    return this->processCount > this->seedCount && this->clock.now() - this->lastCountChange >= membershipSettlingTime;
 }
 
 void CrowdPlacement::recordPeer(std::string_view peer, const Placement::DispatchedWork& work)
@@ -52,13 +67,17 @@
 {
     if (this->featureSwitch != Foundation::FeatureSwitch::Automatic)
         return this->featureSwitch == Foundation::FeatureSwitch::On;
-    return slots > 0 && this->processCount > static_cast<std::size_t>(slots);
+    return slots > 0 && (!this->isMembershipKnown() || this->processCount > static_cast<std::size_t>(slots));
 }
 
-std::optional<Placement::CrowdExpectation> CrowdPlacement::expectation(int slots) const
+std::optional<Placement::CrowdExpectation> CrowdPlacement::expectation(int slots)
 {
     if (!this->isActive(slots))
         return std::nullopt;
+    // While the count is unknown, the smallest one with which crowds are regarded is assumed.
+    const std::size_t assumed
+        = this->isMembershipKnown() ? 1 : std::max(this->seedCount, static_cast<std::size_t>(std::max(0, slots))) + 1;
+    this->arrivals.setProcessCount(std::max(this->processCount, assumed));
     return Placement::CrowdExpectation { this->arrivals.estimate(), this->nextDraw };
 }
 
@@ -68,6 +87,7 @@
     this->arrivals.recordOwn({ 1, parts * Foundation::toSeconds(placement.partPrefillTime) });
     if (!placement.isCrowdPlacement)
         return;
+    this->hasDrawn = true;
     this->nextDraw = std::fmod(this->nextDraw + drawStep, 1.0);
     this->placements.fetch_add(1);
     const TimePoint now = this->clock.now();
--- a/src/apps/gateway/crowdplacement.h
+++ b/src/apps/gateway/crowdplacement.h
@@ -26,11 +26,23 @@
     void setSwitch(Foundation::FeatureSwitch newSwitch) { this->featureSwitch = newSwitch; }
 
     /**
-     * Sets how many gateways there are, this one included.
+     * Sets how many gateways are known, this one included.
      * @param rank the position of this one among them, from 0.
      */
     void setProcesses(std::size_t count, std::size_t rank);
 
+    /** Sets how many addresses of other gateways the settings name. */
+    void setSeedCount(std::size_t count) { this->seedCount = count; }
+
+    /** Handles that the list of the gateways has been read from the store. */
+    void confirmMembership() { this->isMembershipListed = true; }
+
+    /**
+     * Returns whether the number of gateways is known: from the store, or because at least as many as there are seeds
+     * have sent hellos and no others have followed for a while. A process without seeds has no others to wait for.
+     */
+    bool isMembershipKnown() const;
+
     /** Records a load update of another gateway. @param work what it shows as newly dispatched. */
     void recordPeer(std::string_view peer, const Placement::DispatchedWork& work);
 
@@ -41,7 +53,7 @@
      * Returns what placement should expect of the other gateways; none if crowds are not regarded here.
      * @param slots the slots of an engine.
      */
-    std::optional<Placement::CrowdExpectation> expectation(int slots) const;
+    std::optional<Placement::CrowdExpectation> expectation(int slots);
 
     /** Records that a prompt is dispatched. */
     void recordDispatch(const Placement::PromptPlacement& placement);
@@ -61,6 +73,10 @@
     Placement::ArrivalEstimator arrivals;
     Foundation::FeatureSwitch featureSwitch = Foundation::FeatureSwitch::Automatic;
     std::size_t processCount = 1;
+    std::size_t seedCount = 0;
+    bool isMembershipListed = false;
+    Foundation::TimePoint lastCountChange {};
+    bool hasDrawn = false;
     /** The number that selects the next engine in a crowd. */
     double nextDraw = 0;
     bool isInCrowd = false;
--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -5,6 +5,7 @@
 
 #include <asio/post.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace Gateway {
@@ -149,7 +150,10 @@
                   // Possible crashes of the generation count from now on.
                   this->nextCrashConfirmation = {};
               },
-              [this](const std::map<std::string, std::string>& addresses) { this->peers.addMembers(addresses); },
+              [this](const std::map<std::string, std::string>& addresses) {
+                  this->crowds.confirmMembership();
+                  this->peers.addMembers(addresses);
+              },
               [this](const Wire::StoreCacheQuery& query) { return this->peers.sendQuery(query); },
               [this](const Wire::StoreCacheReply& update) { this->peers.sendToDomainPeers(update); },
               [this](const StoreCache::KeyedRecord& record) {
@@ -391,6 +395,8 @@
     this->retryBudget.setProcessCount(processes);
     this->dispatcher.setProcessCount(processes);
     this->crowds.setProcesses(processes, this->peers.memberRank());
+    this->crowds.setSeedCount(static_cast<std::size_t>(std::ranges::count_if(this->settings.node.seeds,
+        [own = this->settings.node.peerEndpoint.text()](const std::string& seed) { return seed != own; })));
     this->crowds.setSwitch(this->settings.crowdPlacement);
     this->dispatcher.setContentionPolicy(this->settings.contentionPolicy, this->metrics);
     this->dispatcher.setColdStartLimit(this->settings.node.coldStartFactor, this->settings.node.coldStartAllowance);
@@ -503,7 +509,7 @@
     this->suspectWriter.tick();
     this->completionStore.tick();
     this->peers.tick();
-    this->dispatcher.setPeerLoadAvailable(this->peers.isMajorityConnected());
+    this->dispatcher.setPeerLoadAvailable(this->peers.isMajorityConnected() && this->crowds.isMembershipKnown());
     this->memoryLeases.tick();
     this->crowds.tick();
     this->permits.tick();
