Correct predictions in a crowd by measured delays and unreported prompt parts

Short prompts in a crowd got their first events later than predicted, and the predictions left out the split parts of other gateways' long prompts that no load update had shown.

The dispatcher records the lateness of short prompts against the prediction without the correction, and adds the correction to the prediction of the next ones where crowds are regarded. An engine's own correction raises its level in the choice of an engine. The unreported prefill time beyond that of the unreported requests is spread over all engines and added as well. Neither enters the decision of the queue, so no prompt is held for them. The gauge bluebell_first_event_delay_correction shows the correction in seconds. UpstreamHealth::recordDelay receives the same values as before, except that they now contain the unreported parts.

Not measured on a whole deployment.

--- a/src/apps/gateway/crowdplacement.cpp
+++ b/src/apps/gateway/crowdplacement.cpp
@@ -34,6 +34,7 @@
     , metrics(metrics)
     , placements(metrics.counter("bluebell_crowd_placements_total"))
     , arrivals(clock)
+    , delays(clock)
     , nextDraw(static_cast<double>(Foundation::hash64(process) >> 1U) * 2 / hashRange)
 {
 }
@@ -81,6 +82,17 @@
     return Placement::CrowdExpectation { this->arrivals.estimate(), this->nextDraw };
 }
 
+Duration CrowdPlacement::delayCorrection(std::string_view upstreamGeneration, int slots) const
+{
+    return this->isActive(slots) ? this->delays.delayAt(upstreamGeneration) : Duration::zero();
+}
+
+void CrowdPlacement::recordFirstEvent(std::string_view upstreamGeneration, Duration predicted, Duration measured)
+{
+    if (this->featureSwitch != Foundation::FeatureSwitch::Off)
+        this->delays.record(upstreamGeneration, predicted, measured);
+}
+
 void CrowdPlacement::recordDispatch(const Placement::PromptPlacement& placement)
 {
     const auto parts = static_cast<double>(placement.helpers.size() + 1);
@@ -119,6 +131,8 @@
 void CrowdPlacement::updateMetrics()
 {
     this->metrics.setGauge("bluebell_unreported_requests", "", this->arrivals.estimate().unreported.requests);
+    this->metrics.setGauge(
+        "bluebell_first_event_delay_correction", "", Foundation::toSeconds(this->delays.fleetDelay()));
 }
 
 } // namespace Gateway
--- a/src/apps/gateway/crowdplacement.h
+++ b/src/apps/gateway/crowdplacement.h
@@ -5,6 +5,7 @@
 #include <foundation/clock.h>
 #include <foundation/metrics.h>
 #include <placement/arrivalestimator.h>
+#include <placement/delaycorrection.h>
 #include <placement/placementplanner.h>
 
 #include <atomic>
@@ -55,6 +56,20 @@
      */
     std::optional<Placement::CrowdExpectation> expectation(int slots);
 
+    /**
+     * Returns how much later than predicted the first event of a short prompt is expected at an upstream; zero if
+     * crowds are not regarded here.
+     * @param slots the slots of an engine.
+     */
+    Foundation::Duration delayCorrection(std::string_view upstreamGeneration, int slots) const;
+
+    /**
+     * Records the first event of a short prompt.
+     * @param predicted the prediction without the correction.
+     */
+    void recordFirstEvent(
+        std::string_view upstreamGeneration, Foundation::Duration predicted, Foundation::Duration measured);
+
     /** Records that a prompt is dispatched. */
     void recordDispatch(const Placement::PromptPlacement& placement);
 
@@ -71,6 +86,7 @@
     Foundation::MetricRegistry& metrics;
     std::atomic<std::uint64_t>& placements;
     Placement::ArrivalEstimator arrivals;
+    Placement::DelayCorrection delays;
     Foundation::FeatureSwitch featureSwitch = Foundation::FeatureSwitch::Automatic;
     std::size_t processCount = 1;
     std::size_t seedCount = 0;
--- a/src/apps/gateway/dispatcher.cpp
+++ b/src/apps/gateway/dispatcher.cpp
@@ -185,7 +185,7 @@
     Placement::DispatchedRequest request;
     request.upstream = chosen->entry.id;
     return Assignment { chosen->entry.id, chosen->generationId(), chosen->entry.address, {},
-        this->ledger.addRequest(std::move(request)), {} };
+        this->ledger.addRequest(std::move(request)), {}, {}, false };
 }
 
 Placement::QueuedPromptId Dispatcher::enqueue(PendingPrompt pending)
@@ -264,6 +264,11 @@
     demand.isPeerLoadAvailable = this->isPeerLoadAvailable;
     if (!candidates.empty())
         demand.crowd = this->crowds.expectation(candidates.front().slots);
+    const bool usesCorrections
+        = demand.crowd && Placement::isShortPrompt(this->queues.find(pending.criteria.service)->second.model(), demand);
+    for (std::size_t i = 0; usesCorrections && i < candidates.size(); ++i)
+        candidates[i].delayCorrection
+            = this->crowds.delayCorrection(this->placementUpstreams[i]->generationId(), candidates[i].slots);
     if (const Placement::ContentionPolicy* const contention = this->contentionPolicy(pending.criteria.service))
         demand.enginesOpenToLongPrompts = contention->openEngineCount(demand);
     return Placement::placePrompt(this->queues.find(pending.criteria.service)->second.model(), candidates, demand);
@@ -298,7 +303,12 @@
     request.weight = static_cast<std::int64_t>(pending.prompt.demand.weight * 1e3);
     request.parts.push_back({ upstream.entry.id, partPrefillUs, 0 });
     Assignment assignment { upstream.entry.id, upstream.generationId(), upstream.entry.address, {}, 0,
-        placement.timeToFirstEvent };
+        placement.timeToFirstEvent + placement.estimatedDelay, {}, false };
+    assignment.isShortPrompt
+        = Placement::isShortPrompt(this->queues.find(pending.criteria.service)->second.model(), pending.prompt.demand);
+    if (assignment.isShortPrompt)
+        assignment.delayCorrection = this->crowds.delayCorrection(upstream.generationId(), upstream.entry.slots);
+    assignment.expectedFirstEventDelay += assignment.delayCorrection;
     for (const Placement::PrefillHelper& helper : placement.helpers) {
         const Membership::UpstreamEntry& entry = this->placementUpstreams[helper.index]->entry;
         request.parts.push_back({ entry.id, partPrefillUs, helper.reservedTokens });
@@ -308,6 +318,14 @@
     pending.onAssigned(assignment);
 }
 
+void Dispatcher::recordFirstEvent(const Assignment& assignment, Duration measured)
+{
+    const Duration predicted = assignment.expectedFirstEventDelay - assignment.delayCorrection;
+    this->health.recordDelay(assignment.upstreamGeneration, predicted, measured);
+    if (assignment.isShortPrompt)
+        this->crowds.recordFirstEvent(assignment.upstreamGeneration, predicted, measured);
+}
+
 void Dispatcher::refuse(Placement::QueuedPromptId id, Foundation::ResultCode code, Duration retryAfter)
 {
     const auto found = this->pendingPrompts.find(id);
--- a/src/apps/gateway/dispatcher.h
+++ b/src/apps/gateway/dispatcher.h
@@ -41,6 +41,9 @@
     Placement::DispatchedRequestId dispatchedRequestId = 0;
     /** Expected time from the dispatch to the first event; 0 for requests without a prompt. */
     Foundation::Duration expectedFirstEventDelay {};
+    /** The part of the expected time that was added by DelayCorrection. */
+    Foundation::Duration delayCorrection {};
+    bool isShortPrompt = false;
 };
 
 /** Conditions that an upstream must meet to receive a request. */
@@ -127,6 +130,9 @@
      */
     std::vector<std::string> upstreamsThatNeedPermits(const UpstreamCriteria& criteria);
 
+    /** Records the time from the dispatch of a prompt to its first event. */
+    void recordFirstEvent(const Assignment& assignment, Foundation::Duration measured);
+
     /** Removes a prompt from its queue without calling its callbacks. */
     void withdraw(Placement::QueuedPromptId id);
 
--- a/src/apps/gateway/proxiedanswer.cpp
+++ b/src/apps/gateway/proxiedanswer.cpp
@@ -212,7 +212,7 @@
     this->attempt->isPrefilling = false;
     const Assignment& assignment = this->attempt->assignment;
     const Duration actualDelay = this->context.clock.now() - this->attempt->sentAt;
-    this->context.health.recordDelay(assignment.upstreamGeneration, assignment.expectedFirstEventDelay, actualDelay);
+    this->context.dispatcher.recordFirstEvent(assignment, actualDelay);
     this->context.ledger.recordPrefillDone(assignment.dispatchedRequestId);
     logEvent(Event::AttemptStarted, this->request.id,
         "upstream=" + assignment.upstreamGeneration + " first_event_ms=" + millisecondsText(actualDelay)
--- a/src/libs/placement/placementplanner.cpp
+++ b/src/libs/placement/placementplanner.cpp
@@ -87,6 +87,14 @@
 
 double toMs(Duration duration) { return Foundation::toSeconds(duration) * 1e3; }
 
+// Returns how much split parts of other gateways' long prompts that are not reported yet delay an engine. They may be
+// on any engine. What the unreported requests would need if they were short is counted where these are expected.
+Duration unreportedPartsTime(const ArrivalEstimate& arrivals, double shortPromptMs, std::size_t engineCount)
+{
+    const double partsMs = arrivals.unreported.prefillSeconds * 1e3 - arrivals.unreported.requests * shortPromptMs;
+    return Foundation::fromSeconds(std::max(0.0, partsMs) / 1e3 / static_cast<double>(engineCount));
+}
+
 // Searches for the best placement of one prompt: compares the costs for each number of engines that can prefill it.
 class PlacementSearch {
 public:
@@ -209,7 +217,8 @@
         for (const auto& [eventGapTargetMs, group] : candidate.usage->streamsByGapMs)
             longStreams += eventGapTargetMs > Foundation::toMilliseconds(this->demand.eventGapTarget) ? group.count : 0;
         const double slowMs = (candidate.slowdownFactor - 1) * (partMs + this->cycleTimesMs[index]);
-        return static_cast<double>(candidate.usage->requests) + (this->backlogsMs[index] + slowMs) / partMs
+        return static_cast<double>(candidate.usage->requests)
+            + (this->backlogsMs[index] + slowMs + toMs(candidate.delayCorrection)) / partMs
             + (longStreams > 0 ? longStreamsLevel : 0);
     }
 
@@ -243,6 +252,7 @@
         const double unreportedMs = choice->unreportedRequests * partMs;
         placement.timeToFirstEvent += Foundation::fromSeconds(unreportedMs / 1e3);
         placement.prefillAhead += Foundation::fromSeconds(unreportedMs / 1e3);
+        placement.estimatedDelay = unreportedPartsTime(crowd.arrivals, partMs, this->candidates.size());
         return placement;
     }
 
--- a/src/libs/placement/placementplanner.h
+++ b/src/libs/placement/placementplanner.h
@@ -37,6 +37,8 @@
     bool canUseLastSlots = true;
     /** Whether the engine can be a prefill helper. */
     bool canHelp = true;
+    /** How much later than predicted short prompts got their first events there in the last few hundred ms. */
+    Foundation::Duration delayCorrection {};
 };
 
 /** The dispatches of all gateways, for a decision about engines whose known load is out of date. */
@@ -83,6 +85,11 @@
     Foundation::Duration partPrefillTime {};
     /** The predicted time from now to the first event. */
     Foundation::Duration timeToFirstEvent {};
+    /**
+     * How much later the first event is expected for reasons that are only estimated. Kept apart, since a prompt is not
+     * held back for them: waiting in the queue would not make its answer earlier.
+     */
+    Foundation::Duration estimatedDelay {};
     /** The longest prefill backlog that any of the engines has before this prompt. */
     Foundation::Duration prefillAhead {};
     /** The weight lost by streams in flight that the prefill delays past their event-gap targets. */
--- a/tests/auto/gateway/tst_crowdmembership.cpp
+++ b/tests/auto/gateway/tst_crowdmembership.cpp
@@ -65,3 +65,20 @@
     this->crowds.setProcesses(27, 5);
     DOUBLES_EQUAL(draw, this->crowds.expectation(12)->draw, 1e-12);
 }
+
+// Guards against corrections in deployments that have switched crowd placement off, or that are too small for crowds.
+TEST(CrowdMembershipTest, predictionsAreCorrectedOnlyWhereCrowdsAreRegarded)
+{
+    const auto measure = [this] {
+        for (int i = 0; i < 3; ++i)
+            this->crowds.recordFirstEvent("e", 150ms, 250ms);
+    };
+    measure();
+    CHECK_TRUE(this->crowds.delayCorrection("e", 12) == 0ms);
+    this->crowds.setProcesses(27, 3);
+    CHECK_TRUE(this->crowds.delayCorrection("e", 12) == 100ms);
+    this->clock.advance(2s);
+    this->crowds.setSwitch(Foundation::FeatureSwitch::Off);
+    measure();
+    CHECK_TRUE(this->crowds.delayCorrection("e", 12) == 0ms);
+}
--- a/tests/auto/placement/tst_crowdplacement.cpp
+++ b/tests/auto/placement/tst_crowdplacement.cpp
@@ -200,3 +200,37 @@
     const auto crowded = placePrompt(this->model, this->candidates(usages, 0), demand);
     CHECK_TRUE(crowded->timeToFirstEvent >= calm->timeToFirstEvent + this->model.prefillTime(5'000));
 }
+
+// Guards against predictions that leave out the parts of other gateways' long prompts, and against holding prompts back
+// for what is only estimated.
+TEST(CrowdPlacementTest, unreportedPartsOfLongPromptsCountInThePredictionOnly)
+{
+    const std::vector<UpstreamUsage> usages(10);
+    PromptDemand demand = this->caption;
+    demand.crowd.emplace();
+    const double shortPrefill = Foundation::toSeconds(this->model.prefillTime(5'000));
+    demand.crowd->arrivals.unreported = { 20, 20 * shortPrefill };
+    const auto without = placePrompt(this->model, this->candidates(usages, 0), demand);
+    demand.crowd->arrivals.unreported.prefillSeconds += 0.8;
+    const auto with = placePrompt(this->model, this->candidates(usages, 0), demand);
+    DOUBLES_EQUAL(0, Foundation::toSeconds(without->estimatedDelay), 1e-6);
+    DOUBLES_EQUAL(0.08, Foundation::toSeconds(with->estimatedDelay), 1e-6);
+    CHECK_TRUE(with->timeToFirstEvent == without->timeToFirstEvent);
+}
+
+// Guards against sending prompts to an engine that has just been much later than predicted, while others have not.
+TEST(CrowdPlacementTest, anEngineThatIsLateIsAvoided)
+{
+    const std::vector<UpstreamUsage> usages(10);
+    auto engines = this->candidates(usages, 0);
+    engines[0].delayCorrection = 2s;
+    PromptDemand demand = this->caption;
+    demand.crowd.emplace();
+    // The prefill work that arrives opens all engines.
+    demand.crowd->arrivals.perSecond = { 300, 9 };
+    demand.crowd->arrivals.unreported = { 20, 0.6 };
+    for (int i = 0; i < 50; ++i) {
+        demand.crowd->draw = i / 50.0;
+        CHECK_TRUE(placePrompt(this->model, engines, demand)->runnerIndex != 0);
+    }
+}
