Spread the load relays' work in fleets of more than a hundred gateways

One load relay of each failure domain forwarded each 15 ms batch to all its domain peers, and each gateway sent its complete load to all others every 1.2 s.

Above a hundred gateways each domain now has groups of about four with a load relay each. Whoever sends to a relay sends the changes of the last second again when the relay is replaced. A heartbeat has the complete load for a part of the peers only; the others get an empty one, so that a dead process is noticed as before. The permit issuer still gets each.

--- a/src/apps/gateway/loadbroadcaster.h
+++ b/src/apps/gateway/loadbroadcaster.h
@@ -4,9 +4,12 @@
 #include <membership/loadrelayselector.h>
 #include <wire/messages.h>
 
+#include <deque>
 #include <functional>
+#include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace Gateway {
@@ -15,7 +18,8 @@
  * Broadcasts the load of this process to all other gateways. A small number of gateways send to each other directly. In
  * a larger fleet each failure domain has a load relay. It batches the updates of its domain peers for some ms and
  * forwards them to these peers and to the load relays of the other domains. The rate of messages that a gateway
- * receives then does not grow with the number of gateways.
+ * receives then does not grow with the number of gateways. In a fleet of more than a hundred, each failure domain is
+ * divided into groups with a load relay each, which spreads the cost of forwarding over many gateways.
  */
 class LoadBroadcaster {
 public:
@@ -44,7 +48,36 @@
     /** Returns whether there are so few gateways that they send to each other without load relays. */
     bool sendsDirectly() const;
 
+    /**
+     * Returns after how many heartbeats a peer gets the complete load again. The changes say the same, unless one is
+     * lost.
+     */
+    std::size_t completeLoadRounds() const;
+
 private:
+    /** Loads that were sent to a load relay, which may have failed before it forwarded them. */
+    class SentLoads {
+    public:
+        void add(Foundation::TimePoint now, const std::vector<Wire::PeerLoad>& loads);
+        /** Returns the loads of the time in which a failed load relay can go unnoticed. */
+        std::vector<Wire::PeerLoad> recent(Foundation::TimePoint now);
+
+    private:
+        std::deque<std::pair<Foundation::TimePoint, Wire::PeerLoad>> loads;
+    };
+
+    std::size_t processCount() const;
+    /** Returns whether the failure domains are divided into groups. */
+    bool hasGroups() const;
+    std::size_t groupCount() const;
+    Foundation::Duration batchInterval() const;
+    /** Selects the load relay of this process's group in a failure domain. */
+    std::string selectRelay(std::string_view failureDomain, Foundation::TimePoint now);
+    /** Sends an update to a load relay, and what its predecessor may not have forwarded if it replaces one. */
+    void sendToRelay(
+        const std::string& failureDomain, Wire::LoadUpdate update, SentLoads& sent, Foundation::TimePoint now);
+    /** Sends recent changes of this process again if its load relay was replaced. */
+    void resendIfReplaced(Foundation::TimePoint now);
     bool isLoadRelay(Foundation::TimePoint now);
     void flushIfDue(Foundation::TimePoint now);
     void flush(Foundation::TimePoint now);
@@ -57,6 +90,12 @@
     std::vector<Wire::PeerLoad> domainLoads;
     /** Updates from the load relays of other failure domains, to be sent to the processes of this one. */
     std::vector<Wire::PeerLoad> otherDomainLoads;
+    /** Changes of this process. */
+    SentLoads publishedLoads;
+    /** What this process has forwarded as load relay, by failure domain. */
+    std::map<std::string, SentLoads, std::less<>> forwardedLoads;
+    /** The load relay that was last sent to in each failure domain. */
+    std::map<std::string, std::string, std::less<>> lastRelays;
     Foundation::TimePoint lastFlush {};
     /** When another process last used this one as its load relay. */
     Foundation::TimePoint lastRelayRequest {};
--- a/src/apps/gateway/peerconnections.cpp
+++ b/src/apps/gateway/peerconnections.cpp
@@ -142,7 +142,31 @@
     if (now < this->nextHeartbeat)
         return;
     this->nextHeartbeat = now + this->heartbeatInterval();
-    this->broadcast(this->makeLoad(true, this->handlers.fullLoad()));
+    this->sendHeartbeats();
+}
+
+void PeerConnections::sendHeartbeats()
+{
+    const Wire::PeerLoad load = this->makeLoad(true, this->handlers.fullLoad());
+    const std::size_t rounds = this->loadBroadcaster.completeLoadRounds();
+    if (rounds == 1) {
+        this->broadcast(load);
+        return;
+    }
+    // Support for a permit issuer lapses unless each heartbeat repeats it.
+    const auto issuer = this->peers.find(load.permitIssuer);
+    std::size_t index = ++this->heartbeatCount;
+    std::vector<Wire::ConnectionId> completeReceivers;
+    std::vector<Wire::ConnectionId> otherReceivers;
+    for (const auto& [peerAddress, peer] : this->outgoing) {
+        const bool isIssuer = issuer != this->peers.end() && issuer->second.address == peerAddress;
+        const bool isComplete = index++ % rounds == 0 || isIssuer;
+        if (peer.isOpen)
+            (isComplete ? completeReceivers : otherReceivers).push_back(peer.connection);
+    }
+    this->client.broadcast(completeReceivers, load);
+    // A load that names no process changes nothing, but is answered like any other.
+    this->client.broadcast(otherReceivers, Wire::PeerLoad {});
 }
 
 Wire::PeerLoad PeerConnections::makeLoad(bool isComplete, std::vector<Placement::UpstreamUsage> usages)
--- a/src/apps/gateway/peerconnections.h
+++ b/src/apps/gateway/peerconnections.h
@@ -19,8 +19,8 @@
 
 /**
  * Manages the connections to the other gateways. Each gateway connects to every other one and sends it the full load at
- * intervals; changes in between go through load relays. Queries for the cached state of the store use the same
- * connections.
+ * intervals, which grow with a large fleet; changes in between go through load relays. Queries for the cached state of
+ * the store use the same connections.
  */
 class PeerConnections {
 public:
@@ -146,6 +146,8 @@
     void updateCandidateAt(std::string_view peerAddress);
     Wire::PeerLoad makeLoad(bool isComplete, std::vector<Placement::UpstreamUsage> usages);
     Foundation::Duration heartbeatInterval() const;
+    /** Sends the complete load to all peers, or in a large fleet to some of them, and an empty one to the others. */
+    void sendHeartbeats();
     std::vector<Wire::ConnectionId> openConnections() const;
 
     const Foundation::Clock& clock;
@@ -166,6 +168,8 @@
     std::map<std::string, Outgoing> outgoing;
     std::map<Wire::ConnectionId, Incoming> incoming;
     Foundation::TimePoint nextHeartbeat {};
+    /** The number of heartbeats sent; selects the peers that get the complete load. */
+    std::size_t heartbeatCount = 0;
     /** The number of queries sent; selects the peer of the next one. */
     std::size_t queryCount = 0;
     Wire::ServerEndpoint server;
--- a/src/libs/membership/loadrelayselector.h
+++ b/src/libs/membership/loadrelayselector.h
@@ -6,6 +6,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace Membership {
 
@@ -39,10 +41,15 @@
     void recordUpdate(std::string_view process, Foundation::TimePoint now);
 
     /**
-     * Selects the load relay of a failure domain.
+     * Selects the load relay of a failure domain, or of one of the groups into which a large fleet divides its domains.
+     * @param group less than groupCount.
      * @return the name of the process, which may be this one; empty if no process of the domain is reachable.
      */
-    std::string selectRelay(std::string_view failureDomain, Foundation::TimePoint now);
+    std::string selectRelay(
+        std::string_view failureDomain, Foundation::TimePoint now, std::size_t group = 0, std::size_t groupCount = 1);
+
+    /** Returns how many reachable processes of this failure domain rank before this one. */
+    std::size_t domainRank();
 
     /** @return the reachable processes by failure domain, including this process. */
     const std::map<std::string, std::map<std::string, LoadRelayCandidate, std::less<>>, std::less<>>&
@@ -52,18 +59,23 @@
     }
 
 private:
-    /** The latest candidate of a failure domain that was checked, and since when it has been queried for. */
+    /** The latest candidate of a group that was checked, and since when it has been queried for. */
     struct Selection {
         std::string process;
         Foundation::TimePoint since {};
         Foundation::TimePoint lastQueried {};
     };
 
-    bool hasTimedOut(const LoadRelayCandidate& candidate, Foundation::TimePoint now);
+    bool hasTimedOut(const std::string& process, Selection& selection, Foundation::TimePoint now) const;
+    /** Returns the processes of a failure domain, the preferred ones first. */
+    const std::vector<std::string>& ranking(std::string_view failureDomain);
 
     LoadRelayCandidate self;
     std::map<std::string, std::map<std::string, LoadRelayCandidate, std::less<>>, std::less<>> candidates;
-    std::map<std::string, Selection, std::less<>> selections;
+    /** The rankings since the last change of the candidates, by failure domain. */
+    std::map<std::string, std::vector<std::string>, std::less<>> rankings;
+    /** By failure domain and group. */
+    std::map<std::pair<std::string, std::size_t>, Selection> selections;
     std::map<std::string, Foundation::TimePoint, std::less<>> lastUpdate;
     std::map<std::string, Foundation::TimePoint, std::less<>> skippedUntil;
 };
--- a/tests/auto/membership/tst_loadrelayselector.cpp
+++ b/tests/auto/membership/tst_loadrelayselector.cpp
@@ -70,3 +70,22 @@
     this->selector.remove("b-1");
     CHECK_FALSE(this->selector.candidatesByDomain().contains("b"));
 }
+
+TEST(LoadRelaySelectorTest, aSilentRelayIsReplacedWithinItsGroupOnly)
+{
+    for (const char* const process : { "a-4", "a-5", "a-6" })
+        this->selector.add({ process, "a", 0.1 });
+    const auto relayOf = [this](std::size_t group) { return this->selector.selectRelay("a", this->now, group, 2); };
+    // The ranking is a-2, a-1, a-3 (this process), a-4, a-5, a-6; the groups take turns in it.
+    std::string first;
+    std::string second;
+    for (Foundation::Duration elapsed {}; elapsed <= 700ms; elapsed += 20ms) {
+        this->now += 20ms;
+        this->selector.recordUpdate("a-1", this->now);
+        first = relayOf(0);
+        second = relayOf(1);
+    }
+    STRCMP_EQUAL("a-3", first.c_str());
+    STRCMP_EQUAL("a-1", second.c_str());
+    LONGS_EQUAL(2, this->selector.domainRank());
+}
