--- a/src/apps/gateway/storesynchronizer.cpp
+++ b/src/apps/gateway/storesynchronizer.cpp
@@ -3,11 +3,8 @@
 #include <foundation/identifier.h>
 #include <foundation/logging.h>
 
-#include "platform/policydecoder.h"
-#include "platform/upstreamdecoder.h"
-
 #include <algorithm>
-#include <charconv>
+#include <utility>
 
 namespace Gateway {
 
@@ -32,16 +29,12 @@
 constexpr Duration maximumUpstreamPollInterval = std::chrono::milliseconds(900);
 // Gateways start and stop rarely, and they also send each other their addresses when they connect.
 constexpr Duration peerLongPoll = std::chrono::seconds(15);
-// An auxiliary topic is read by another gateway if its reader passes nothing on for this time.
-constexpr Duration passOnTimeout = std::chrono::seconds(3);
 // Batches the records of gateways that start at the same time.
 constexpr Duration peerPollInterval = std::chrono::milliseconds(1'500);
 // One gateway of a failure domain reads the store for all. If its updates stop, the others start to read one after
 // another: each waits for one read cycle plus this delay for each gateway that precedes it, at most so many times.
 constexpr Duration rankDelay = std::chrono::milliseconds(300);
 constexpr std::size_t maximumRankDelays = 3;
-// Allowance for the network delay between two gateways, added to the age of a peer's state.
-constexpr Duration networkDelayAllowance = std::chrono::milliseconds(20);
 // The delay after a failed read. It doubles with each further failure. Readers of a failure domain have the smaller
 // maximum, so that a change still comes into force within its time limit; the others receive their updates from a
 // reader.
@@ -50,9 +43,6 @@
 constexpr Duration maximumRetryDelay = std::chrono::seconds(2);
 // The number of gateways of a failure domain that retry at the short delay while the store is unavailable.
 constexpr std::size_t outageReaderCount = 2;
-// Another gateway is queried if the cached state was not confirmed for this long, and again at the interval below.
-constexpr Duration peerQueryDelay = std::chrono::milliseconds(900);
-constexpr Duration peerQueryInterval = std::chrono::milliseconds(400);
 // Entries that expired during a store outage are written again about two seconds after its end.
 constexpr Duration expiredEntryGrace = std::chrono::milliseconds(2'500);
 // After the store has come back from an older copy, the operator and the upstreams write again what the copy lacks.
@@ -62,8 +52,6 @@
 constexpr Duration eraRecordDelay = std::chrono::seconds(2);
 // Spreads what the gateways write again.
 constexpr Duration maximumRewriteDelay = std::chrono::milliseconds(800);
-// No entry expires in an outage shorter than this.
-constexpr Duration minimumOutage = std::chrono::milliseconds(800);
 // The greatest age of the cached state at which keys are accepted, as a fraction of the time in which a revoked key
 // must be out of use. The rest is for requests that were accepted just before.
 constexpr double keyAgeFraction = 0.85;
@@ -73,44 +61,6 @@
     return std::clamp(Foundation::fromSeconds(Foundation::toSeconds(limit) * fraction), minimum, maximum);
 }
 
-std::string ageText(std::optional<Duration> age)
-{
-    return age ? std::to_string(Foundation::toMilliseconds(*age)) : std::string("unknown");
-}
-
-const char* changeName(UpstreamDirectory::Change change)
-{
-    switch (change) {
-    case UpstreamDirectory::Change::Added:
-        return "added";
-    case UpstreamDirectory::Change::Restarted:
-        return "restarted";
-    case UpstreamDirectory::Change::DrainStarted:
-        return "drained";
-    case UpstreamDirectory::Change::Missing:
-        return "missing";
-    case UpstreamDirectory::Change::Removed:
-        return "removed";
-    }
-    return "";
-}
-
-Event eventForChange(UpstreamDirectory::Change change)
-{
-    switch (change) {
-    case UpstreamDirectory::Change::Added:
-    case UpstreamDirectory::Change::Restarted:
-        return Event::UpstreamListed;
-    case UpstreamDirectory::Change::DrainStarted:
-        return Event::UpstreamDraining;
-    case UpstreamDirectory::Change::Missing:
-        return Event::UpstreamMissing;
-    case UpstreamDirectory::Change::Removed:
-        return Event::UpstreamRemoved;
-    }
-    return Event::UpstreamListed;
-}
-
 } // namespace
 
 StoreSynchronizer::StoreSynchronizer(Platform::HttpTransfers& transfers, const Foundation::Clock& clock,
@@ -208,7 +158,7 @@
         this->updateEvacuated();
     const bool isStale = this->policy() && !this->canAcceptKeys();
     if (isStale && !this->wasStale)
-        logEvent(Event::KnowledgeStale, "", "age_ms=" + ageText(this->cacheAge()));
+        logEvent(Event::KnowledgeStale, "", "age_ms=" + this->cacheAgeText());
     this->wasStale = isStale;
     if (std::exchange(this->hasChanged, false))
         this->handlers.onChange();
@@ -450,47 +400,6 @@
     return this->operatorFollower.isCopyUnread || this->clock.now() < this->eraSettledAt;
 }
 
-void StoreSynchronizer::sendToDomainPeers()
-{
-    Wire::StoreCacheReply update
-        = this->answerQuery({ this->operatorEndPublished, this->upstreamRecords.end(), this->era });
-    if (!update.hasCachedState)
-        return;
-    update.upstreamRecords = std::exchange(this->upstreamChanges, {});
-    update.upstreamFrom = this->upstreamEndPublished;
-    this->operatorEndPublished = update.operatorEnd;
-    this->upstreamEndPublished = update.upstreamEnd;
-    update.suspects = this->takeUnpublished(this->suspectFollower);
-    update.peers = this->takeUnpublished(this->peerFollower);
-    this->handlers.sendToDomainPeers(update);
-}
-
-Wire::StoreCacheReply::TopicPart StoreSynchronizer::takeUnpublished(Follower& follower) const
-{
-    if (!follower.isListed || follower.isCopyUnread)
-        return {};
-    const std::uint64_t from = std::exchange(follower.publishedEnd, follower.records->end());
-    Wire::StoreCacheReply::TopicPart part { {}, from, follower.records->end(), ageMs(follower, this->clock.now()) + 1 };
-    if (part.end > from)
-        part.records = follower.records->recordsFrom(from);
-    return part;
-}
-
-void StoreSynchronizer::applyPart(
-    Follower& follower, Wire::StoreCacheReply::TopicPart part, std::uint64_t partEra, TimePoint sent)
-{
-    const std::int64_t longestAgeMs
-        = Foundation::toMilliseconds(follower.longPoll + follower.pollInterval + passOnTimeout);
-    const bool isUsable = part.ageMs > 0 && part.ageMs <= longestAgeMs && follower.isListed && !follower.isCopyUnread
-        && part.from <= follower.records->end();
-    if (!isUsable)
-        return;
-    follower.records->mergeRange(std::move(part.records), part.end, partEra);
-    follower.publishedEnd = std::max(follower.publishedEnd, follower.records->end());
-    follower.lastPassedOn = std::max(follower.lastPassedOn, sent);
-    recordCurrent(follower, sent - std::chrono::milliseconds(part.ageMs));
-}
-
 void StoreSynchronizer::recordSuccess(Follower& follower)
 {
     const TimePoint now = this->clock.now();
@@ -526,33 +435,6 @@
     follower.lastCurrent = asOf;
 }
 
-void StoreSynchronizer::applyPeerOutage(const Wire::StoreCacheReply& reply, TimePoint sent)
-{
-    const TimePoint now = this->clock.now();
-    const Follower& follower = this->upstreamFollower;
-    if (reply.graceMs > 0) {
-        const TimePoint peerAwaySince = sent - std::chrono::milliseconds(reply.upstreamAwayMs);
-        const bool wasServed
-            = reply.upstreamAwayMs > 0 && follower.currentSince <= peerAwaySince && !isGap(follower, now);
-        if (!wasServed)
-            this->upstreamDirectory.extendGracePeriod(sent + std::chrono::milliseconds(reply.graceMs));
-        return;
-    }
-    if (!follower.awaySince || now >= this->upstreamDirectory.graceEnd())
-        return;
-    const TimePoint peerCurrentSince = sent - std::chrono::milliseconds(reply.upstreamCurrentForMs);
-    const TimePoint peerCurrentUntil = sent - std::chrono::milliseconds(reply.upstreamAgeMs);
-    const bool wasPeerServed = peerCurrentSince <= *follower.awaySince
-        && peerCurrentUntil + minimumOutage + follower.pollInterval >= follower.currentSince;
-    if (!wasPeerServed)
-        return;
-    logEvent(Event::OutageWasPartial, "",
-        "away_ms=" + std::to_string(Foundation::toMilliseconds(now - *follower.awaySince))
-            + " peer_current_for_ms=" + std::to_string(reply.upstreamCurrentForMs));
-    this->upstreamDirectory.endGracePeriod(now);
-    this->hasChanged = true;
-}
-
 void StoreSynchronizer::onFailure(Follower& follower, std::string_view reason)
 {
     follower.isReading = false;
@@ -568,120 +450,10 @@
     follower.isFailing = true;
 }
 
-void StoreSynchronizer::queryPeerIfDue()
+std::string StoreSynchronizer::cacheAgeText() const
 {
-    const TimePoint now = this->clock.now();
-    const auto isOverdue = [now](const Follower& follower) {
-        return now - follower.lastCurrent > peerQueryDelay + follower.longPoll + follower.pollInterval;
-    };
-    // In a grace period, a gateway that reached the store all the while can end it.
-    const bool isInGrace = now < this->upstreamDirectory.graceEnd();
-    const bool isWaiting = this->era > 0 && this->startCheck.isWaiting(now);
-    const bool isNeeded
-        = isWaiting || isInGrace || isOverdue(this->operatorFollower) || isOverdue(this->upstreamFollower);
-    if (!isNeeded || now < this->nextQuery)
-        return;
-    this->nextQuery = now + peerQueryInterval;
-    this->handlers.queryPeer(this->makeQuery());
-}
-
-Wire::StoreCacheQuery StoreSynchronizer::makeQuery() const
-{
-    return { this->operatorRecords.end(), this->upstreamRecords.end(), this->era,
-        Foundation::toMilliseconds(this->bootClock.now().time_since_epoch()) };
-}
-
-std::optional<TimePoint> StoreSynchronizer::sendTimeOf(const Wire::StoreCacheReply& reply)
-{
-    const TimePoint now = this->bootClock.now();
-    if (reply.sender.empty())
-        return now;
-    const auto sent = this->transits.record(reply.sender, TimePoint(std::chrono::milliseconds(reply.sentMs)), now);
-    const TimePoint querySent { std::chrono::milliseconds(reply.querySentMs) };
-    // An answer was sent after its query, and usually within a ms.
-    return reply.querySentMs > 0 && querySent <= now ? querySent : sent;
-}
-
-void StoreSynchronizer::onReply(const Wire::StoreCacheReply& reply)
-{
-    const std::optional<TimePoint> sendTime = this->sendTimeOf(reply);
-    if (!reply.hasCachedState || reply.era < this->era)
-        return;
-    this->beginEra(reply.era);
-    this->peerPolicyVersion = std::max(this->peerPolicyVersion, reply.policyVersion);
-    if (reply.isSettled)
-        this->startCheck.recordSettled();
-    const std::uint64_t endBefore = this->operatorRecords.end();
-    const TimePoint now = this->clock.now();
-    const TimePoint sent = now - (sendTime ? this->bootClock.now() - *sendTime : Duration::zero());
-    this->applyPeerOutage(reply, sent);
-    // This gateway missed an update if it was not connected at the time. Merging a later one would mark the missed
-    // records as read, so the whole range is queried instead.
-    if (reply.operatorFrom > endBefore || reply.upstreamFrom > this->upstreamRecords.end()) {
-        this->nextQuery = now + peerQueryInterval;
-        this->handlers.queryPeer(this->makeQuery());
-        return;
-    }
-    this->isMergingCopy = this->upstreamFollower.isCopyUnread;
-    for (Follower* const follower : { &this->operatorFollower, &this->upstreamFollower }) {
-        if (std::exchange(follower->isCopyUnread, false))
-            this->beginSettling(*follower);
-    }
-    this->operatorRecords.mergeRange(reply.operatorRecords, reply.operatorEnd, reply.era);
-    // The sender publishes these records to all domain peers, so they are not published again from here.
-    const std::size_t ownChangeCount = this->upstreamChanges.size();
-    this->upstreamRecords.mergeRange(reply.upstreamRecords, reply.upstreamEnd, reply.era);
-    this->isMergingCopy = false;
-    this->upstreamChanges.resize(ownChangeCount);
-    this->upstreamEndPublished = this->upstreamRecords.end();
-    const auto recordAge = [&](Follower& follower, std::int64_t peerAgeMs) {
-        follower.isListed = true;
-        if (sendTime)
-            recordCurrent(follower, sent - std::chrono::milliseconds(peerAgeMs));
-    };
-    recordAge(this->operatorFollower, reply.operatorAgeMs);
-    recordAge(this->upstreamFollower, reply.upstreamAgeMs);
-    applyPart(this->suspectFollower, reply.suspects, reply.era, sent);
-    applyPart(this->peerFollower, reply.peers, reply.era, sent);
-    if (sendTime && !this->isPossiblyOldCopy())
-        this->freshness.recordCurrentAsOf(
-            *sendTime - networkDelayAllowance - std::chrono::milliseconds(reply.operatorAgeMs));
-    this->metrics.counter("bluebell_knowledge_from_peers_total").fetch_add(1);
-    if (reply.operatorEnd > endBefore)
-        logEvent(Event::KnowledgeFromPeer, "",
-            "operator_end=" + std::to_string(reply.operatorEnd) + " age_ms=" + std::to_string(reply.operatorAgeMs));
-    this->tick();
-}
-
-Wire::StoreCacheReply StoreSynchronizer::answerQuery(const Wire::StoreCacheQuery& query) const
-{
-    Wire::StoreCacheReply reply;
     const auto age = this->cacheAge();
-    reply.hasCachedState = age && this->operatorFollower.isListed && this->upstreamFollower.isListed;
-    if (!reply.hasCachedState)
-        return reply;
-    // Offsets of another era say nothing here, so the sender gets all records.
-    reply.sender = this->incarnation;
-    reply.sentMs = Foundation::toMilliseconds(this->bootClock.now().time_since_epoch());
-    reply.querySentMs = query.sentMs;
-    reply.era = this->era;
-    reply.isSettled = !this->isPossiblyOldCopy();
-    reply.policyVersion = this->policy() ? this->policy()->version() : 0;
-    reply.operatorFrom = query.era == this->era ? query.operatorEnd : 0;
-    reply.upstreamFrom = query.era == this->era ? query.upstreamEnd : 0;
-    reply.operatorRecords = this->operatorRecords.recordsFrom(reply.operatorFrom);
-    reply.upstreamRecords = this->upstreamRecords.recordsFrom(reply.upstreamFrom);
-    reply.operatorEnd = this->operatorRecords.end();
-    reply.upstreamEnd = this->upstreamRecords.end();
-    reply.operatorAgeMs = Foundation::toMilliseconds(*age) + 1;
-    reply.upstreamAgeMs = ageMs(this->upstreamFollower, this->clock.now()) + 1;
-    const Duration grace = this->upstreamDirectory.graceEnd() - this->clock.now();
-    reply.graceMs = std::max<std::int64_t>(0, Foundation::toMilliseconds(grace));
-    const TimePoint now = this->clock.now();
-    reply.upstreamCurrentForMs = Foundation::toMilliseconds(now - this->upstreamFollower.currentSince);
-    if (this->upstreamFollower.awaySince)
-        reply.upstreamAwayMs = Foundation::toMilliseconds(now - *this->upstreamFollower.awaySince);
-    return reply;
+    return age ? std::to_string(Foundation::toMilliseconds(*age)) : std::string("unknown");
 }
 
 bool StoreSynchronizer::canAcceptKeys() const
@@ -699,110 +471,4 @@
     return !age || *age > this->settings.node.policyApplyLimit;
 }
 
-void StoreSynchronizer::onOperatorRecord(const KeyedRecord& record)
-{
-    this->hasChanged = true;
-    if (record.key == PlatformAdapter::documentKey)
-        this->applyPolicy(record);
-    else if (record.key.starts_with(PlatformAdapter::evacuationPrefix))
-        this->updateEvacuated();
-}
-
-void StoreSynchronizer::applyPolicy(const KeyedRecord& record)
-{
-    if (!record.value)
-        return;
-    auto decoded = PlatformAdapter::decodePolicy(*record.value);
-    const auto current = this->policy();
-    const std::string position = "offset=" + std::to_string(record.offset);
-    if (!decoded) {
-        logEvent(Event::ConfigurationRejected, "", position + " reason=" + decoded.error().message);
-        return;
-    }
-    if (current && decoded.value()->version() < current->version()) {
-        logEvent(Event::ConfigurationRejected, "",
-            position + " reason=older version=" + std::to_string(decoded.value()->version()));
-        return;
-    }
-    const std::string version = std::to_string(decoded.value()->version());
-    this->policyCell.publish(std::move(decoded.value()));
-    logEvent(Event::ConfigurationInForce, "",
-        "version=" + version + " " + position + " age_ms=" + ageText(this->cacheAge()));
-}
-
-void StoreSynchronizer::updateEvacuated()
-{
-    this->isEvacuationUpdatePending = this->isSettling();
-    if (this->isEvacuationUpdatePending)
-        return;
-    std::set<std::string, std::less<>> domains;
-    std::string names;
-    for (const auto& [key, record] : this->operatorRecords.all()) {
-        if (!record.value || !key.starts_with(PlatformAdapter::evacuationPrefix))
-            continue;
-        domains.insert(key.substr(PlatformAdapter::evacuationPrefix.size()));
-        names += (names.empty() ? "" : ",") + key.substr(PlatformAdapter::evacuationPrefix.size());
-    }
-    this->upstreamDirectory.setEvacuated(std::move(domains));
-    logEvent(Event::EvacuationChanged, "", "failure_domains=" + names);
-}
-
-void StoreSynchronizer::onUpstreamRecord(const KeyedRecord& record)
-{
-    const TimePoint now = this->clock.now();
-    const auto entry = record.value ? PlatformAdapter::decodeUpstream(record.key, *record.value) : std::nullopt;
-    const std::uint64_t digest = entry ? Membership::entryDigest(*entry) : 0;
-    if (std::exchange(this->upstreamDigests[record.key], digest) == digest && entry)
-        return;
-    this->hasChanged = true;
-    this->upstreamChanges.push_back(record);
-    if (!record.value) {
-        this->upstreamDirectory.remove(record.key, now);
-        return;
-    }
-    if (entry && this->isMergingCopy && this->upstreamDirectory.isSuperseded(*entry)) {
-        // What the upstream writes itself is read again, although it may look the same.
-        this->upstreamDigests.erase(record.key);
-        return;
-    }
-    if (entry) {
-        if (!this->upstreamDirectory.update(*entry, now))
-            this->upstreamDigests.erase(record.key);
-        return;
-    }
-    this->metrics.counter("bluebell_ignored_entries_total").fetch_add(1);
-    logEvent(Event::EntryIgnored, "", "key=" + record.key + " offset=" + std::to_string(record.offset));
-    this->upstreamDirectory.remove(record.key, now);
-}
-
-void StoreSynchronizer::onPeerRecord(const KeyedRecord& record)
-{
-    if (record.key == PlatformAdapter::settledEraKey) {
-        const std::string text = record.value.value_or("");
-        std::uint64_t recorded = 0;
-        const char* const end = text.data() + text.size();
-        if (std::from_chars(text.data(), end, recorded).ptr != end)
-            logEvent(Event::EntryIgnored, "", "key=" + record.key + " offset=" + std::to_string(record.offset));
-        else
-            this->settledEra = std::max(this->settledEra, recorded);
-        if (this->era > 0 && this->settledEra >= this->era)
-            this->startCheck.recordSettled();
-        return;
-    }
-    if (record.value)
-        this->peerAddresses[record.key] = *record.value;
-    else
-        this->peerAddresses.erase(record.key);
-    this->handlers.onPeersChanged(this->peerAddresses);
-}
-
-void StoreSynchronizer::onUpstreamChange(UpstreamDirectory::Change change, const Membership::Upstream& upstream) const
-{
-    logEvent(eventForChange(change), "",
-        "upstream=" + upstream.generationId() + " change=" + changeName(change) + " service=" + upstream.entry.service
-            + " address=" + upstream.entry.address + " domain=" + upstream.entry.failureDomain);
-    if (change == UpstreamDirectory::Change::Removed)
-        this->handlers.onUpstreamRemoved(upstream.generationId());
-}
-
 } // namespace Gateway
--- a/src/apps/gateway/storesynchronizer.h
+++ b/src/apps/gateway/storesynchronizer.h
@@ -91,6 +91,11 @@
     bool isStoreReachable() const { return this->peerFollower.isListed && !this->peerFollower.isFailing; }
 
 private:
+    /** An auxiliary topic is read by another gateway if its reader passes nothing on for this time. */
+    static constexpr Foundation::Duration passOnTimeout = std::chrono::seconds(3);
+    /** No entry expires in an outage shorter than this. */
+    static constexpr Foundation::Duration minimumOutage = std::chrono::milliseconds(800);
+
     /** The state of reading one topic of the store. */
     struct Follower {
         std::string topic;
@@ -165,6 +170,8 @@
         Follower& follower, Wire::StoreCacheReply::TopicPart part, std::uint64_t partEra, Foundation::TimePoint sent);
     static std::int64_t ageMs(const Follower& follower, Foundation::TimePoint now);
     void registerSelf();
+    /** Returns the age of the operator's cached records in ms, for log lines. */
+    std::string cacheAgeText() const;
 
     void onOperatorRecord(const StoreCache::KeyedRecord& record);
     void onUpstreamRecord(const StoreCache::KeyedRecord& record);
