Limit how often changes are sent again to another load relay

While a large fleet starts, each gateway that connects changes the ranking and so the load relays, and each change of a relay sent the changes of the last second again, up to once a tick. They are now sent again at most every 500 ms, which still covers all that a replaced relay may have held.

--- a/src/apps/gateway/loadbroadcaster.cpp
+++ b/src/apps/gateway/loadbroadcaster.cpp
@@ -31,6 +31,8 @@
 constexpr Duration maximumBatchInterval = std::chrono::milliseconds(120);
 // A failed load relay is noticed after 600 ms; this includes its last batches and slow machines.
 constexpr Duration resendTime = std::chrono::milliseconds(1'000);
+// While a fleet starts, the relays change with each gateway that connects; changes are sent again at this interval.
+constexpr Duration resendInterval = std::chrono::milliseconds(500);
 // A load relay without updates sends an empty one at this interval, so that other processes see that it is alive.
 constexpr Duration keepAliveInterval = std::chrono::milliseconds(150);
 // A process keeps working as load relay for this time after another process last used it as one.
@@ -126,10 +128,14 @@
 {
     const std::string relay = this->selectRelay(failureDomain, now);
     if (this->hasGroups()) {
-        const std::string previous = std::exchange(this->lastRelays[failureDomain], relay);
         sent.add(now, update.loads);
-        if (!previous.empty() && previous != relay)
+        RelayInUse& inUse = this->relaysInUse[failureDomain];
+        if (inUse.process.empty())
+            inUse.process = relay;
+        if (isResendDue(inUse, relay, now)) {
             update.loads = mergeLoads(sent.recent(now));
+            inUse = { relay, now };
+        }
     }
     if (relay != this->self.process) {
         this->handlers.send(relay, update);
@@ -139,10 +145,16 @@
     this->flushIfDue(now);
 }
 
+bool LoadBroadcaster::isResendDue(const RelayInUse& inUse, std::string_view relay, TimePoint now)
+{
+    return inUse.process != relay && now - inUse.lastResend >= resendInterval;
+}
+
 void LoadBroadcaster::resendIfReplaced(TimePoint now)
 {
-    const auto last = this->lastRelays.find(this->self.failureDomain);
-    if (last == this->lastRelays.end() || last->second == this->selectRelay(this->self.failureDomain, now))
+    const auto inUse = this->relaysInUse.find(this->self.failureDomain);
+    if (inUse == this->relaysInUse.end()
+        || !isResendDue(inUse->second, this->selectRelay(this->self.failureDomain, now), now))
         return;
     if (!this->publishedLoads.recent(now).empty())
         this->sendToRelay(
--- a/src/apps/gateway/loadbroadcaster.h
+++ b/src/apps/gateway/loadbroadcaster.h
@@ -66,6 +66,12 @@
         std::deque<std::pair<Foundation::TimePoint, Wire::PeerLoad>> loads;
     };
 
+    /** The load relay of a failure domain that has all that was sent before. */
+    struct RelayInUse {
+        std::string process;
+        Foundation::TimePoint lastResend {};
+    };
+
     std::size_t processCount() const;
     /** Returns whether the failure domains are divided into groups. */
     bool hasGroups() const;
@@ -78,6 +84,8 @@
         const std::string& failureDomain, Wire::LoadUpdate update, SentLoads& sent, Foundation::TimePoint now);
     /** Sends recent changes of this process again if its load relay was replaced. */
     void resendIfReplaced(Foundation::TimePoint now);
+    /** Returns whether a load relay was replaced, and the last time was long enough ago to send again. */
+    static bool isResendDue(const RelayInUse& inUse, std::string_view relay, Foundation::TimePoint now);
     bool isLoadRelay(Foundation::TimePoint now);
     void flushIfDue(Foundation::TimePoint now);
     void flush(Foundation::TimePoint now);
@@ -94,8 +102,8 @@
     SentLoads publishedLoads;
     /** What this process has forwarded as load relay, by failure domain. */
     std::map<std::string, SentLoads, std::less<>> forwardedLoads;
-    /** The load relay that was last sent to in each failure domain. */
-    std::map<std::string, std::string, std::less<>> lastRelays;
+    /** The load relays in use, by failure domain. */
+    std::map<std::string, RelayInUse, std::less<>> relaysInUse;
     Foundation::TimePoint lastFlush {};
     /** When another process last used this one as its load relay. */
     Foundation::TimePoint lastRelayRequest {};
--- a/tests/auto/gateway/tst_loadbroadcaster.cpp
+++ b/tests/auto/gateway/tst_loadbroadcaster.cpp
@@ -186,3 +186,28 @@
     LONGS_EQUAL(28, fleet.countInformed("a5", 2));
     LONGS_EQUAL(28, fleet.countInformed("c5", 9));
 }
+
+TEST(LoadBroadcasterTest, changesAreNotSentAgainWithEachGatewayThatConnects)
+{
+    Foundation::ManualClock clock;
+    clock.advance(10s);
+    const Membership::LoadRelayCandidate self { "b500", "b", 0.1 };
+    Membership::LoadRelaySelector selector(self);
+    for (int i = 100; i < 250; ++i)
+        selector.add({ "b" + std::to_string(i), "b", 0.1 });
+    std::size_t sent = 0;
+    LoadBroadcaster broadcaster(clock, self, selector,
+        { [&sent](const std::string&, const Wire::LoadUpdate& update) { sent += update.loads.size(); },
+            [](const Wire::LoadUpdate&, bool) {}, [](const Wire::PeerLoad&) {} });
+    Wire::PeerLoad load;
+    load.process = self.process;
+    broadcaster.publish(load);
+    for (int i = 0; i < 40; ++i) {
+        clock.advance(20ms);
+        selector.add({ "a" + std::to_string(i), "b", 0.1 });
+        broadcaster.tick();
+    }
+    // The relay changes with most of them. What was sent within the last second is sent again every half second.
+    CHECK_TRUE(sent >= 2);
+    CHECK_TRUE(sent <= 3);
+}
