--- a/src/libs/foundation/event.cpp
+++ b/src/libs/foundation/event.cpp
@@ -39,7 +39,8 @@
         "Another gateway reached the store all the while, so entries that are missing were removed." },
     { Event::StoreEraChanged, "StoreEraChanged", Severity::Warning,
         "The store has come back from an older copy; all topics are read again, and what this system wrote is written "
-        "again." },
+        "again. At a start in an era that is not recorded as settled: whether the process waits for the writers "
+        "(`start`)." },
     { Event::InstanceListUnavailable, "InstanceListUnavailable", Severity::Warning,
         "The instance list cannot be read." },
     { Event::EntryIgnored, "EntryIgnored", Severity::Info,
