--- a/src/apps/gateway/dispatcher.h
+++ b/src/apps/gateway/dispatcher.h
@@ -162,7 +162,7 @@
     bool canReceive(const Membership::Upstream& upstream, const UpstreamCriteria& criteria, Foundation::TimePoint now);
     /** Counts a request that is about to be sent. */
     void countRequest(std::string_view upstreamGeneration);
-    /** Activates the contention policy where the switch and the routes call for it, and ends it elsewhere. */
+    /** Activates the contention policy if the switch calls for it, and ends it otherwise. */
     void applyContentionPolicy();
     /**
      * Returns whether long prompts leave headroom to short ones without the contention policy: if there are more
--- a/src/apps/gateway/dispatchercontention.cpp
+++ b/src/apps/gateway/dispatchercontention.cpp
@@ -2,27 +2,12 @@
 
 #include <foundation/logging.h>
 
-#include <algorithm>
-#include <set>
-
 namespace Gateway {
 
 namespace {
 
 using Foundation::Duration;
 
-// Returns whether the routes to a service have different priorities, so that its prompts can compete.
-bool hasSeveralPriorities(const Policy::TrafficPolicy& policy, std::string_view service)
-{
-    std::set<int> priorities;
-    for (const Policy::Route& route : policy.routes()) {
-        if (std::ranges::any_of(
-                route.targets, [service](const Policy::RouteTarget& target) { return target.service == service; }))
-            priorities.insert(route.priority);
-    }
-    return priorities.size() > 1;
-}
-
 } // namespace
 
 void Dispatcher::setContentionPolicy(Foundation::FeatureSwitch newSwitch, Foundation::MetricRegistry& registry)
@@ -35,10 +20,7 @@
 void Dispatcher::applyContentionPolicy()
 {
     for (const auto& [service, queue] : this->queues) {
-        const bool isActive = this->contentionSwitch == Foundation::FeatureSwitch::On
-            || (this->contentionSwitch == Foundation::FeatureSwitch::Automatic && this->policy
-                && hasSeveralPriorities(*this->policy, service));
-        if (isActive)
+        if (this->contentionSwitch == Foundation::FeatureSwitch::On)
             this->contentionPolicies.try_emplace(service, queue.model());
         else
             this->contentionPolicies.erase(service);
