--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -396,12 +396,15 @@
 // A process of the system, as the deploy file starts it.
 class Gateway {
 public:
-    Gateway(const std::string& name, std::uint16_t storePort, const std::string& folder, const Json& limits)
+    // output: where standard output goes; -1 for a file in the folder.
+    Gateway(const std::string& name, std::uint16_t storePort, const std::string& folder, const Json& limits,
+        int output = -1)
         : frontPort(freePort())
         , readinessPort(freePort())
         , controlPort(freePort())
         , settingsPath(folder + "/" + name + ".json")
         , logPath(folder + "/" + name + ".log")
+        , output(output)
     {
         const auto endpoint = [](std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); };
         const Json bounds = { { "seed_lag_s", 3 }, { "reuse_after_s", 2 }, { "stability_window_ms", 4000 },
@@ -435,7 +438,7 @@
         // Ends with this program, also if that is killed.
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int log = ::open(this->logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-        ::dup2(log, 1);
+        ::dup2(this->output >= 0 ? this->output : log, 1);
         ::dup2(log, 2);
         ::execl("target/bin/bluebell-gateway", "bluebell-gateway", "--settings", this->settingsPath.c_str(), nullptr);
         ::_exit(127);
@@ -501,6 +504,7 @@
 private:
     std::string settingsPath;
     std::string logPath;
+    int output;
     pid_t process = -1;
 };
 
