--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -204,6 +204,15 @@
         return message;
     }
 
+    // Reads and drops what arrives until the given time or the end of the connection.
+    void readUntil(Clock::time_point end)
+    {
+        while (Clock::now() < end) {
+            this->more();
+            this->buffer.clear();
+        }
+    }
+
 private:
     void more()
     {
@@ -246,8 +255,9 @@
 public:
     using Handler = std::function<void(Connection&)>;
 
-    explicit Server(Handler handler)
+    explicit Server(Handler handler, std::uint16_t port = 0)
         : handler(std::move(handler))
+        , number(port)
     {
         this->socket = listenOn(this->number);
         std::thread([this] { this->run(); }).detach();
@@ -275,7 +285,7 @@
     }
 
     Handler handler;
-    std::uint16_t number = 0;
+    std::uint16_t number;
     int socket = -1;
 };
 
