--- a/review/standins-2/cut.cpp
+++ b/review/standins-2/cut.cpp
@@ -1,5 +1,5 @@
-// A gateway is cut off from the store for 12 s while the operator writes versions of a large document, one of which takes
-// a key away. After the cut the store returns the backlog in parts. No request with the key may run then.
+// A gateway is cut off from the store for 12 s while the operator writes versions of a large document, one of which
+// takes a key away. After the cut the store returns the backlog in parts. No request with the key may run then.
 
 #include "harness.h"
 
@@ -85,11 +85,13 @@
                 return {};
             std::string body = bigEndian(records.size(), 8) + bigEndian(0, 8);
             std::size_t next = from;
-            for (; next < records.size() && (next == from || body.size() + records[next].size() <= maximumReadBytes); ++next)
+            for (; next < records.size() && (next == from || body.size() + records[next].size() <= maximumReadBytes);
+                 ++next)
                 body += bigEndian(records[next].size(), 4) + records[next];
             if (next > from + 1 && this->onRead)
                 this->onRead("store: a read of " + parameter(target, "topic") + " from " + std::to_string(from)
-                    + " returns records up to " + std::to_string(next) + ", the end is " + std::to_string(records.size()));
+                    + " returns records up to " + std::to_string(next) + ", the end is "
+                    + std::to_string(records.size()));
             return reply(200, "Content-Type: application/octet-stream\r\n", body);
         }
         if (target.starts_with("/log-append")) {
@@ -133,13 +135,14 @@
     Json keys = { "staying" };
     if (hasLeavingKey)
         keys.push_back("leaving");
-    return Json { { "version", version }, { "routes", routes },
+    return Json {
+        { "version", version }, { "routes", routes },
         { "services", { { { "name", "app" }, { "health_path", "/healthz" }, { "max_conns", 240 } } } },
         { "limits",
             { { "max_header_bytes", 16384 }, { "max_body_bytes", 4194304 }, { "header_timeout_ms", 3000 },
                 { "idle_timeout_ms", 15000 } } },
-        { "tenants", { { { "name", "ten" }, { "api_keys", keys }, { "priority", 1 } } } } }
-        .dump();
+        { "tenants", { { { "name", "ten" }, { "api_keys", keys }, { "priority", 1 } } } }
+    }.dump();
 }
 
 } // namespace
--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -406,15 +407,17 @@
 // A process of the system, as the deploy file starts it.
 class Gateway {
 public:
-    // output: where standard output goes; -1 for a file in the folder.
+    // output: where standard output goes; -1 for a file in the folder. descriptors: how many the process may have open;
+    // 0 for as many as this program.
     Gateway(const std::string& name, std::uint16_t storePort, const std::string& folder, const Json& limits,
-        int output = -1)
+        int output = -1, rlim_t descriptors = 0)
         : frontPort(freePort())
         , readinessPort(freePort())
         , controlPort(freePort())
         , settingsPath(folder + "/" + name + ".json")
         , logPath(folder + "/" + name + ".log")
         , output(output)
+        , descriptors(descriptors)
     {
         const auto endpoint = [](std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); };
         const Json bounds = { { "seed_lag_s", 3 }, { "reuse_after_s", 2 }, { "stability_window_ms", 4000 },
@@ -433,7 +436,8 @@
                         { { "front", endpoint(this->frontPort) }, { "readiness", endpoint(this->readinessPort) },
                             { "control", endpoint(this->controlPort) } } },
                     { "seeds", { endpoint(this->controlPort) } }, { "bootstrap", true }, { "limits", limits },
-                    { "bounds", bounds }, { "platform", { { "address", endpoint(storePort) }, { "form", "log" } } } } } };
+                    { "bounds", bounds },
+                    { "platform", { { "address", endpoint(storePort) }, { "form", "log" } } } } } };
         std::ofstream(this->settingsPath) << settings.dump(1);
         this->start();
     }
@@ -447,6 +451,10 @@
             return;
         // Ends with this program, also if that is killed.
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        if (this->descriptors > 0) {
+            const rlimit limit { this->descriptors, this->descriptors };
+            ::setrlimit(RLIMIT_NOFILE, &limit);
+        }
         const int log = ::open(this->logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(this->output >= 0 ? this->output : log, 1);
         ::dup2(log, 2);
@@ -496,6 +504,16 @@
         return false;
     }
 
+    std::size_t openDescriptors() const
+    {
+        std::error_code error;
+        std::size_t count = 0;
+        for (const auto& entry :
+            std::filesystem::directory_iterator("/proc/" + std::to_string(this->process) + "/fd", error))
+            count += entry.path().empty() ? 0 : 1;
+        return count;
+    }
+
     // Returns the resident memory in bytes; 0 if the process has ended.
     std::int64_t residentBytes() const
     {
@@ -515,6 +533,7 @@
     std::string settingsPath;
     std::string logPath;
     int output;
+    rlim_t descriptors;
     pid_t process = -1;
 };
 
--- a/review/standins-2/heads.cpp
+++ b/review/standins-2/heads.cpp
@@ -89,8 +89,8 @@
                 std::this_thread::sleep_for(appWork);
                 connection.send(reply(200, attempt + signature, "free"));
             } else {
-                connection.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + attempt
-                    + signature + "\r\n");
+                connection.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+                    + attempt + signature + "\r\n");
                 for (int i = 1; i <= eventCount; ++i) {
                     std::this_thread::sleep_for(eventInterval);
                     const std::string event = "id: " + std::to_string(i) + "\ndata: " + std::string(40, 'w') + "\n\n";
@@ -119,15 +119,16 @@
     caption["resumable"] = true;
     caption["gap_target_ms"] = 250;
     caption["sticky"] = true;
-    return Json { { "version", 1 }, { "routes", { caption, route("calendar", "safe", 1'500, 150, "app") } },
+    return Json {
+        { "version", 1 }, { "routes", { caption, route("calendar", "safe", 1'500, 150, "app") } },
         { "services",
             { { { "name", "llm" }, { "health_path", "/healthz" }, { "max_conns", 424 }, { "engine", engineProfile() } },
                 { { "name", "app" }, { "health_path", "/healthz" }, { "max_conns", 100 } } } },
         { "limits",
             { { "max_header_bytes", maximumHeaderBytes }, { "max_body_bytes", 4194304 }, { "header_timeout_ms", 3000 },
                 { "idle_timeout_ms", 15000 } } },
-        { "tenants", { { { "name", "ten" }, { "api_keys", { "key" } }, { "priority", 1 } } } } }
-        .dump();
+        { "tenants", { { { "name", "ten" }, { "api_keys", { "key" } }, { "priority", 1 } } } }
+    }.dump();
 }
 
 std::string makeHead(int number, int fields)
@@ -163,7 +164,8 @@
         servers.push_back(std::make_unique<Server>(
             [id, worker, isEngine](Connection& connection) { serveWorker(connection, id, *worker, isEngine); }));
         entries.emplace_back(id,
-            makeEntry(isEngine ? "llm" : "app", servers.back()->port(), zones[i % 3], isEngine ? engineSlots : appSlots, 1));
+            makeEntry(
+                isEngine ? "llm" : "app", servers.back()->port(), zones[i % 3], isEngine ? engineSlots : appSlots, 1));
     }
     store.put("keyed.op", "config", makeDocument());
     const auto writeEntries = [&](int sequence) {
@@ -271,13 +273,15 @@
         const std::lock_guard lock(runsMutex);
         for (const int client : unanswered)
             lost += runs.contains("c" + std::to_string(client)) ? 1 : 0;
-        record.line("runs " + std::to_string(runs.size()) + ", of which lost without an answer " + std::to_string(lost));
+        record.line(
+            "runs " + std::to_string(runs.size()) + ", of which lost without an answer " + std::to_string(lost));
     }
     record.line("peak_resident_mb " + std::to_string(peak / bytesPerMebibyte) + ", limit memory_mb "
         + std::to_string(memoryMb));
     const bool isBroken = (!isRunning || isKilled) && lost > 3;
-    record.line(isBroken ? "BROKEN: the process ended by itself, and more than three requests that it had passed on were lost"
-                         : "held");
+    record.line(isBroken
+            ? "BROKEN: the process ended by itself, and more than three requests that it had passed on were lost"
+            : "held");
     gateway.kill();
     std::filesystem::remove_all(folder);
     std::fflush(nullptr);
--- a/review/standins-2/idle.cpp
+++ b/review/standins-2/idle.cpp
@@ -17,7 +17,8 @@
 
 std::string makeDocument()
 {
-    return Json { { "version", 1 },
+    return Json {
+        { "version", 1 },
         { "routes",
             { { { "name", "calendar" }, { "host", "h" }, { "path_prefix", "/calendar/" }, { "type", "safe" },
                 { "timeout_ms", 1500 }, { "goal_ms", 150 }, { "priority", 1 }, { "service", "app" },
@@ -26,8 +27,8 @@
         { "limits",
             { { "max_header_bytes", 16384 }, { "max_body_bytes", 4194304 }, { "header_timeout_ms", 3000 },
                 { "idle_timeout_ms", 15000 } } },
-        { "tenants", { { { "name", "ten" }, { "api_keys", { "key" } }, { "priority", 1 } } } } }
-        .dump();
+        { "tenants", { { { "name", "ten" }, { "api_keys", { "key" } }, { "priority", 1 } } } }
+    }.dump();
 }
 
 // An ordinary request on a connection of its own.
@@ -127,11 +128,11 @@
         longestGap = std::max(longestGap, answeredAt[i] - answeredAt[i - 1]);
     for (const auto& [answer, number] : answers)
         record.line("callers that get " + answer + ": " + std::to_string(number));
-    record.line("readiness checks with 200: " + std::to_string(readyCount) + ", others: " + std::to_string(notReadyCount));
+    record.line(
+        "readiness checks with 200: " + std::to_string(readyCount) + ", others: " + std::to_string(notReadyCount));
     record.line("longest time without an answer to " + std::to_string(ordinaryCallers)
         + " callers that try: " + std::to_string(longestGap) + " s");
-    const bool isBroken = notReadyCount == 0
-        && longestGap > std::chrono::duration<double>(stabilityWindow).count();
+    const bool isBroken = notReadyCount == 0 && longestGap > std::chrono::duration<double>(stabilityWindow).count();
     record.line(isBroken ? "BROKEN: a machine that says that it is ready takes no new channel" : "held");
     idle.clear();
     gateway.kill();
--- a/review/standins-2/logreader.cpp
+++ b/review/standins-2/logreader.cpp
@@ -14,7 +14,8 @@
 
 std::string makeDocument()
 {
-    return Json { { "version", 1 },
+    return Json {
+        { "version", 1 },
         { "routes",
             { { { "name", "calendar" }, { "host", "h" }, { "path_prefix", "/calendar/" }, { "type", "safe" },
                 { "timeout_ms", 1500 }, { "goal_ms", 150 }, { "priority", 1 }, { "service", "app" },
@@ -23,8 +24,8 @@
         { "limits",
             { { "max_header_bytes", 16384 }, { "max_body_bytes", 4194304 }, { "header_timeout_ms", 3000 },
                 { "idle_timeout_ms", 15000 } } },
-        { "tenants", { { { "name", "ten" }, { "api_keys", { "key" } }, { "priority", 1 } } } } }
-        .dump();
+        { "tenants", { { { "name", "ten" }, { "api_keys", { "key" } }, { "priority", 1 } } } }
+    }.dump();
 }
 
 std::string call(std::uint16_t port, const std::string& request)
@@ -112,8 +113,7 @@
     longestGap = std::max(longestGap, seconds() - lastAnswer);
     for (const auto& [answer, number] : answers)
         record.line("callers that get " + answer + ": " + std::to_string(number));
-    record.line(
-        "GET /readyz gets " + call(gateway.readinessPort, "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n"));
+    record.line("GET /readyz gets " + call(gateway.readinessPort, "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n"));
     record.line("log bytes read " + std::to_string(readBytes) + ", longest time without an answer "
         + std::to_string(longestGap) + " s");
     isReading = true;
@@ -122,8 +122,8 @@
         + call(gateway.frontPort,
             "GET /calendar/a HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: last\r\nX-Deadline-Ms: 1500\r\n"
             "Authorization: Token key\r\n\r\n"));
-    record.line("unanswered at timeout_ms: " + std::to_string(lateCount) + ", of which half a second later: "
-        + std::to_string(tooLateCount));
+    record.line("unanswered at timeout_ms: " + std::to_string(lateCount)
+        + ", of which half a second later: " + std::to_string(tooLateCount));
     const bool isBroken = 2 * tooLateCount > lateCount;
     record.line(isBroken ? "BROKEN: the process hangs, and requests have no answer" : "held");
     gateway.kill();
