Do not deliver a read on a connection that is closed by then

What callers saw: clients that pipelined some requests and closed or reset their connection ended the gateway by SIGSEGV within seconds, with all answers that it was giving.

Cause: a read that had ended well was delivered to RESTinio after RESTinio had closed the connection. It handled the request without its body and read on, and GuardedSocket called a reader that close() had dropped.

Change: such a read ends with operation_aborted, and so does one on a closed socket, which also covers connections that are closed while RESTinio handles a request.

--- a/src/libs/web/connectionreader.cpp
+++ b/src/libs/web/connectionreader.cpp
@@ -175,7 +175,14 @@
 
 void ConnectionReader::complete(ReadHandler handler, const asio::error_code& error, std::size_t bytes)
 {
-    asio::post(this->executor, [handler = std::move(handler), error, bytes] { handler(error, bytes); });
+    asio::post(this->executor, [self = this->shared_from_this(), handler = std::move(handler), error, bytes] {
+        // A request that was read on a connection that is closed by now would run without a caller and without its
+        // body.
+        if (self->socket)
+            handler(error, bytes);
+        else
+            handler(asio::error::operation_aborted, 0);
+    });
 }
 
 void ConnectionReader::discard(std::size_t bytes, ReadHandler handler)
--- a/src/libs/web/guardedsocket.h
+++ b/src/libs/web/guardedsocket.h
@@ -3,7 +3,9 @@
 #include "connectionreader.h"
 
 #include <asio/associated_executor.hpp>
+#include <asio/error.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 
 #include <memory>
 #include <utility>
@@ -34,7 +36,16 @@
     // NOLINTNEXTLINE(readability-identifier-naming)
     void async_read_some(const asio::mutable_buffer& buffer, Handler&& handler)
     {
-        this->reader->asyncRead(buffer, std::forward<Handler>(handler));
+        if (this->reader) {
+            this->reader->asyncRead(buffer, std::forward<Handler>(handler));
+            return;
+        }
+        // RESTinio may read on after it has closed the socket, for example when it closes it while it handles a
+        // request.
+        const auto executor = asio::get_associated_executor(handler, this->get_executor());
+        asio::post(executor, [handler = std::forward<Handler>(handler)]() mutable {
+            handler(asio::error_code(asio::error::operation_aborted), 0);
+        });
     }
 
     void close()
--- /dev/null
+++ b/tests/auto/web/tst_connectionends.cpp
@@ -0,0 +1,147 @@
+#include "../unusedport.h"
+
+#include <foundation/clock.h>
+#include <web/httpserver.h>
+#include <web/receiveguard.h>
+
+#include <CppUTest/TestHarness.h>
+#include <asio.hpp>
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace {
+
+constexpr auto testTimeout = std::chrono::seconds(10);
+constexpr std::size_t manyConnections = 100'000;
+
+std::string bodyOf(const std::string& target) { return "body of " + target; }
+
+std::string makeRequest(const std::string& target)
+{
+    const std::string body = bodyOf(target);
+    return "POST " + target + " HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+        + body;
+}
+
+/** A server and callers that end their connections at any moment. */
+template <std::size_t maximumConnections> class ConnectionEndFixture : public Utest {
+protected:
+    asio::io_context context { 1 };
+    std::uint16_t port = unusedPort();
+    Foundation::SteadyClock clock;
+    std::shared_ptr<Web::ReceiveGuard> guard = std::make_shared<Web::ReceiveGuard>(
+        Web::ReceiveLimits {}, Web::ReceiveMemory::Settings { 10'000'000, 1'000 }, this->clock);
+    std::vector<std::shared_ptr<Web::HttpExchange>> exchanges;
+    std::mt19937_64 random { 54 };
+    bool hasWrongBody = false;
+    /** Whether exchanges are answered in random ways when they arrive. */
+    bool isRandom = false;
+    Web::HttpServer server { this->context, { "127.0.0.1", this->port, 1'000'000, this->guard, maximumConnections },
+        [this](const std::shared_ptr<Web::HttpExchange>& exchange) { this->handle(exchange); } };
+
+    void setup() override
+    {
+        this->server.start([](const std::string& message) { FAIL(message.c_str()); });
+        this->context.poll();
+    }
+
+    void handle(const std::shared_ptr<Web::HttpExchange>& exchange)
+    {
+        this->hasWrongBody = this->hasWrongBody || exchange->request().body() != bodyOf(exchange->request().target);
+        this->exchanges.push_back(exchange);
+        switch (this->isRandom ? this->random() % 6 : 5) {
+        case 0:
+            exchange->abort();
+            break;
+        case 1:
+            exchange->respond({ 200, "text/plain", {}, "answer", true });
+            break;
+        case 2:
+            exchange->respond({ 200, "text/plain", {}, "answer" });
+            break;
+        case 3:
+            exchange->beginStream({ 200, "text/plain" });
+            exchange->write("part");
+            break;
+        case 4:
+            this->exchanges.pop_back();
+            break;
+        default:
+            break;
+        }
+    }
+
+    template <typename Condition> bool runUntil(Condition condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + testTimeout;
+        while (!condition() && std::chrono::steady_clock::now() < end)
+            this->context.run_one_for(std::chrono::milliseconds(5));
+        return condition();
+    }
+
+    asio::ip::tcp::socket connect()
+    {
+        asio::ip::tcp::socket caller(this->context);
+        caller.connect({ asio::ip::make_address("127.0.0.1"), this->port });
+        return caller;
+    }
+
+    static void reset(asio::ip::tcp::socket& caller)
+    {
+        caller.set_option(asio::socket_base::linger(true, 0));
+        caller.close();
+    }
+
+    bool isAnswered()
+    {
+        this->isRandom = false;
+        this->exchanges.clear();
+        asio::ip::tcp::socket caller = this->connect();
+        asio::write(caller, asio::buffer(makeRequest("/ordinary")));
+        const bool hasArrived = this->runUntil([this] { return !this->exchanges.empty(); });
+        if (hasArrived)
+            this->exchanges.back()->respond({ 200, "text/plain", {}, "answer" });
+        return hasArrived;
+    }
+};
+
+} // namespace
+
+TEST_GROUP_BASE(ManyConnectionEndsTest, ConnectionEndFixture<manyConnections>) {};
+
+// A read that had ended well was followed by another one on the closed socket, which ended the process.
+TEST(ManyConnectionEndsTest, callersThatCutPipelineCloseAndResetAtRandomDoNoHarm)
+{
+    constexpr int connections = 4'000;
+    this->isRandom = true;
+    for (int i = 0; i < connections; ++i) {
+        asio::ip::tcp::socket caller = this->connect();
+        std::string bytes;
+        const std::size_t requests = this->random() % 5;
+        for (std::size_t n = 0; n < requests; ++n)
+            bytes += makeRequest("/" + std::to_string(i) + "-" + std::to_string(n));
+        if (this->random() % 2 == 0)
+            bytes.resize(this->random() % (bytes.size() + 1));
+        asio::error_code ignored;
+        asio::write(caller, asio::buffer(bytes), ignored);
+        for (std::size_t n = this->random() % 20; n > 0; --n)
+            this->context.poll_one();
+        if (this->random() % 2 == 0)
+            this->reset(caller);
+        else
+            caller.close();
+        for (std::size_t n = this->random() % 8; n > 0; --n)
+            this->context.poll_one();
+        if (!this->exchanges.empty() && this->random() % 2 == 0) {
+            this->exchanges.front()->respond({ 200, "text/plain", {}, "answer" });
+            this->exchanges.erase(this->exchanges.begin());
+        }
+    }
+    CHECK_FALSE(this->hasWrongBody);
+    CHECK_TRUE(this->isAnswered());
+    this->exchanges.clear();
+    CHECK_TRUE(this->runUntil([this] { return this->guard->memory->heldBytes() == 0; }));
+}
