Accept connections again after any failure to accept one

What callers saw: after clients had connected and reset at once as often as the process may have connections, or after one moment without descriptors, nobody was accepted any more, for good; the readiness check said 200.

Cause: RESTinio's acceptor never gives back an accept that does not lead to a connection: the address of a connection that was reset before cannot be asked for, which throws after the accept was counted, and an accept that fails is neither given back nor repeated.

Change: ConnectionAcceptor replaces RESTinio's. It gets the address with the connection, tries again after an error, and counts connections by their sockets.

--- a/src/apps/gateway/main.cpp
+++ b/src/apps/gateway/main.cpp
@@ -118,9 +118,9 @@
         [&core](const std::shared_ptr<Web::HttpExchange>& exchange) { core.serve(exchange); });
     Web::HttpServer readiness(context,
         listen(node.readinessEndpoint.address, node.readinessEndpoint.port, maximumServiceConnections),
-        [&core](const std::shared_ptr<Web::HttpExchange>& exchange) {
-            exchange->respond(core.isReady() ? plainTextReply(okStatus, "ready\n")
-                                             : plainTextReply(unavailableStatus, "not ready\n"));
+        [&core, &callers](const std::shared_ptr<Web::HttpExchange>& exchange) {
+            exchange->respond(core.isReady() && callers.canAccept() ? plainTextReply(okStatus, "ready\n")
+                                                                    : plainTextReply(unavailableStatus, "not ready\n"));
         });
     Web::HttpServer metrics(context, listen(node.address, settings.metricsPort, maximumServiceConnections),
         [&core](const std::shared_ptr<Web::HttpExchange>& exchange) {
--- a/src/libs/foundation/event.cpp
+++ b/src/libs/foundation/event.cpp
@@ -84,6 +84,8 @@
         "Clients exceeded a limit for requests or made no progress and were refused; `reason` says which." },
     { Event::ReceiveMemoryFull, "ReceiveMemoryFull", Severity::Warning,
         "The memory for received requests is full; clients that held most and made least progress were refused." },
+    { Event::AcceptFailed, "AcceptFailed", Severity::Warning,
+        "A connection could not be accepted, for example for want of descriptors; the process tries again." },
     { Event::UpstreamGeneration, "UpstreamGeneration", Severity::Warning, "The upstream has restarted." },
     { Event::UpstreamCold, "UpstreamCold", Severity::Warning,
         "The upstream is cold; its start-up limits apply again." },
--- a/src/libs/foundation/event.h
+++ b/src/libs/foundation/event.h
@@ -55,6 +55,7 @@
     RequestLate = 417,
     ClientRefused = 420,
     ReceiveMemoryFull = 421,
+    AcceptFailed = 422,
     UpstreamGeneration = 500,
     UpstreamCold = 501,
     UpstreamDown = 502,
--- a/src/libs/web/connectionreader.cpp
+++ b/src/libs/web/connectionreader.cpp
@@ -24,25 +24,6 @@
 
 } // namespace
 
-void ConnectionReaders::add(std::uint64_t connection, const std::shared_ptr<ConnectionReader>& reader)
-{
-    const std::lock_guard lock(this->mutex);
-    this->readers[connection] = reader;
-}
-
-void ConnectionReaders::remove(std::uint64_t connection)
-{
-    const std::lock_guard lock(this->mutex);
-    this->readers.erase(connection);
-}
-
-std::shared_ptr<ConnectionReader> ConnectionReaders::find(std::uint64_t connection) const
-{
-    const std::lock_guard lock(this->mutex);
-    const auto found = this->readers.find(connection);
-    return found == this->readers.end() ? nullptr : found->second.lock();
-}
-
 ConnectionReader::ConnectionReader(asio::ip::tcp::socket& socket, const asio::any_io_executor& executor)
     : socket(&socket)
     , executor(executor)
--- a/src/libs/web/connectionreader.h
+++ b/src/libs/web/connectionreader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connectionreaders.h"
 #include "receiveguard.h"
 #include "requestreader.h"
 
@@ -10,7 +11,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -19,20 +19,6 @@
 
 namespace Web {
 
-class ConnectionReader;
-
-/** Finds the reader of a connection by the number that the server gave it. Thread-safe. */
-class ConnectionReaders {
-public:
-    void add(std::uint64_t connection, const std::shared_ptr<ConnectionReader>& reader);
-    void remove(std::uint64_t connection);
-    std::shared_ptr<ConnectionReader> find(std::uint64_t connection) const;
-
-private:
-    mutable std::mutex mutex;
-    std::map<std::uint64_t, std::weak_ptr<ConnectionReader>> readers;
-};
-
 /**
  * Reads requests from a socket for a server that reads from it in turn: the server gets the head of a request when the
  * request is complete, and its body by takeBody(). Refuses clients that exceed limits or make no progress, and then
--- a/src/libs/web/guardedsocket.h
+++ b/src/libs/web/guardedsocket.h
@@ -20,6 +20,12 @@
 public:
     using asio::ip::tcp::socket::socket;
 
+    /** Takes an accepted connection over. */
+    explicit GuardedSocket(asio::ip::tcp::socket&& accepted)
+        : asio::ip::tcp::socket(std::move(accepted))
+    {
+    }
+
     GuardedSocket(GuardedSocket&&) = default;
     GuardedSocket& operator=(GuardedSocket&&) = default;
     ~GuardedSocket() { this->detach(); }
--- a/src/libs/web/httpserver.cpp
+++ b/src/libs/web/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "httpserver.h"
 
+#include "connectionacceptor.h"
 #include "guardedsocket.h"
 
 #include <restinio/all.hpp>
@@ -306,10 +307,39 @@
     // NOLINTNEXTLINE(readability-identifier-naming)
     using stream_socket_t = GuardedSocket;
     // NOLINTNEXTLINE(readability-identifier-naming)
-    static constexpr bool use_connection_count_limiter = true;
+    static constexpr bool use_connection_count_limiter = false;
 };
 
-using RestinioServer = restinio::http_server_t<ServerTraits>;
+// The acceptor counts connections by their sockets.
+struct NoLifetimeMonitor { };
+
+} // namespace
+
+} // namespace Web
+
+template <> struct restinio::connection_count_limit_types<Web::ServerTraits> {
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    using limiter_t = connection_count_limits::noop_connection_count_limiter_t;
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    using lifetime_monitor_t = Web::NoLifetimeMonitor;
+};
+
+namespace Web {
+
+namespace {
+
+using ConnectionFactory = restinio::impl::connection_factory_t<ServerTraits>;
+
+// Does what the constructor of RESTinio's server does, apart from its acceptor.
+std::shared_ptr<ConnectionFactory> makeConnectionFactory(
+    asio::io_context& context, restinio::server_settings_t<ServerTraits>& settings)
+{
+    settings.ensure_valid_connection_state_listener();
+    const auto timers = settings.timer_factory()->create(context);
+    const auto connectionSettings = std::make_shared<restinio::impl::connection_settings_t<ServerTraits>>(
+        settings, restinio::impl::create_parser_settings<ServerTraits::http_methods_mapper_t>(), timers);
+    return std::make_shared<ConnectionFactory>(connectionSettings, settings.socket_options_setter());
+}
 
 // Protects a process whose settings name no limits.
 std::shared_ptr<ReceiveGuard> makeDefaultGuard(const HttpServerSettings& settings)
@@ -347,7 +377,9 @@
 }
 
 struct HttpServer::State {
-    std::unique_ptr<RestinioServer> server;
+    asio::io_context& context;
+    asio::ip::tcp::endpoint endpoint;
+    std::shared_ptr<ConnectionAcceptor> acceptor;
 };
 
 /**
@@ -355,7 +387,8 @@
  * An HTTP server based on RESTinio. Only this file instantiates RESTinio's templates.
  */
 HttpServer::HttpServer(asio::io_context& context, const HttpServerSettings& settings, HttpHandler handler)
-    : state(std::make_unique<State>())
+    : state(std::make_unique<State>(
+        State { context, { asio::ip::make_address(settings.address), settings.port }, nullptr }))
 {
     const auto registry = std::make_shared<ExchangeRegistry>();
     const auto readers = std::make_shared<ConnectionReaders>();
@@ -367,34 +400,31 @@
         handler(exchange);
         return restinio::request_accepted();
     };
-    this->state->server = std::make_unique<RestinioServer>(
-        restinio::external_io_context(context), [&](restinio::server_settings_t<ServerTraits>& restinioSettings) {
-            restinioSettings.address(settings.address)
-                .port(settings.port)
-                .request_handler(std::move(onRequest))
-                .connection_state_listener(std::make_shared<ConnectionListener>(registry, readers, guard))
-                .max_pipelined_requests(pipelinedRequests)
-                .read_next_http_message_timelimit(requestTimeLimit)
-                .handle_request_timeout(requestTimeLimit)
-                .write_http_response_timelimit(writeTimeLimit)
-                .max_parallel_connections(settings.maximumConnections)
-                .incoming_http_msg_limits(headLimits())
-                .acceptor_options_setter([](auto& options) {
-                    options.set_option(restinio::asio_ns::ip::tcp::acceptor::reuse_address(true));
-                })
-                .socket_options_setter(
-                    [](auto& options) { options.set_option(restinio::asio_ns::ip::tcp::no_delay(true)); });
-        });
+    restinio::server_settings_t<ServerTraits> restinioSettings;
+    restinioSettings.request_handler(std::move(onRequest))
+        .connection_state_listener(std::make_shared<ConnectionListener>(registry, readers, guard))
+        .max_pipelined_requests(pipelinedRequests)
+        .read_next_http_message_timelimit(requestTimeLimit)
+        .handle_request_timeout(requestTimeLimit)
+        .write_http_response_timelimit(writeTimeLimit)
+        .incoming_http_msg_limits(headLimits())
+        .socket_options_setter([](auto& options) { options.set_option(restinio::asio_ns::ip::tcp::no_delay(true)); });
+    const auto factory = makeConnectionFactory(context, restinioSettings);
+    this->state->acceptor
+        = std::make_shared<ConnectionAcceptor>(context, ConnectionAcceptor::Settings { settings.maximumConnections },
+            guard->clock, readers, [factory, guard](asio::ip::tcp::socket socket, const asio::ip::tcp::endpoint& peer) {
+                factory->create_new_connection(GuardedSocket(std::move(socket)), peer, NoLifetimeMonitor {})->init();
+            });
 }
 
-HttpServer::~HttpServer() = default;
+HttpServer::~HttpServer() { this->state->acceptor->close(); }
 
 void HttpServer::start(std::function<void(std::string)> onFailure)
 {
-    this->state->server->open_async([] {},
-        [onFailure = std::move(onFailure)](const std::exception_ptr& failure) {
+    asio::post(this->state->context,
+        [acceptor = this->state->acceptor, endpoint = this->state->endpoint, onFailure = std::move(onFailure)] {
             try {
-                std::rethrow_exception(failure);
+                acceptor->open(endpoint);
             } catch (const std::exception& exception) {
                 onFailure(exception.what());
             }
@@ -403,7 +433,9 @@
 
 void HttpServer::stop()
 {
-    this->state->server->close_async([] {}, [](const std::exception_ptr&) {});
+    asio::post(this->state->context, [acceptor = this->state->acceptor] { acceptor->close(); });
 }
 
+bool HttpServer::canAccept() const { return this->state->acceptor->canAccept(); }
+
 } // namespace Web
--- a/src/libs/web/httpserver.h
+++ b/src/libs/web/httpserver.h
@@ -86,9 +86,12 @@
      */
     void start(std::function<void(std::string)> onFailure);
 
-    /** Stops listening and closes all connections. */
+    /** Stops listening; connections stay open. */
     void stop();
 
+    /** Returns false if callers have been waiting for some time to be accepted. Thread-safe. */
+    bool canAccept() const;
+
 private:
     struct State;
     std::unique_ptr<State> state;
--- a/tests/auto/web/tst_connectionends.cpp
+++ b/tests/auto/web/tst_connectionends.cpp
@@ -7,6 +7,8 @@
 #include <CppUTest/TestHarness.h>
 #include <asio.hpp>
 
+#include <sys/resource.h>
+
 #include <memory>
 #include <random>
 #include <string>
@@ -15,6 +17,7 @@
 namespace {
 
 constexpr auto testTimeout = std::chrono::seconds(10);
+constexpr std::size_t fewConnections = 16;
 constexpr std::size_t manyConnections = 100'000;
 
 std::string bodyOf(const std::string& target) { return "body of " + target; }
@@ -112,6 +115,8 @@
 
 TEST_GROUP_BASE(ManyConnectionEndsTest, ConnectionEndFixture<manyConnections>) {};
 
+TEST_GROUP_BASE(ConnectionEndTest, ConnectionEndFixture<fewConnections>) {};
+
 // A read that had ended well was followed by another one on the closed socket, which ended the process.
 TEST(ManyConnectionEndsTest, callersThatCutPipelineCloseAndResetAtRandomDoNoHarm)
 {
@@ -145,3 +150,51 @@
     this->exchanges.clear();
     CHECK_TRUE(this->runUntil([this] { return this->guard->memory->heldBytes() == 0; }));
 }
+
+// Each such connection was counted for good, until no caller was accepted any more.
+TEST(ConnectionEndTest, connectionsThatAreResetBeforeTheyAreAcceptedDoNotUseUpTheLimit)
+{
+    for (std::size_t i = 0; i < 2 * fewConnections; ++i) {
+        asio::ip::tcp::socket caller = this->connect();
+        this->reset(caller);
+        this->context.poll();
+    }
+    CHECK_TRUE(this->isAnswered());
+    CHECK_TRUE(this->server.canAccept());
+}
+
+// The first error ended accepting for good.
+TEST(ConnectionEndTest, aServerWithoutDescriptorsAcceptsAgainLater)
+{
+    asio::ip::tcp::socket caller = this->connect();
+    rlimit limit {};
+    ::getrlimit(RLIMIT_NOFILE, &limit);
+    const rlimit original = limit;
+    // No number below this one is free for the accepted connection.
+    limit.rlim_cur = static_cast<rlim_t>(caller.native_handle()) + 1;
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(200);
+    while (std::chrono::steady_clock::now() < end)
+        this->context.run_one_for(std::chrono::milliseconds(5));
+    ::setrlimit(RLIMIT_NOFILE, &original);
+    asio::write(caller, asio::buffer(makeRequest("/")));
+    CHECK_TRUE(this->runUntil([this] { return !this->exchanges.empty(); }));
+    CHECK_TRUE(this->isAnswered());
+}
+
+TEST(ConnectionEndTest, aFullServerSaysThatItCannotAcceptUntilAConnectionIsClosed)
+{
+    std::vector<asio::ip::tcp::socket> callers;
+    for (std::size_t i = 0; i < fewConnections; ++i) {
+        callers.push_back(this->connect());
+        asio::write(callers.back(), asio::buffer(makeRequest("/")));
+    }
+    CHECK_TRUE(this->runUntil([this] { return this->exchanges.size() == fewConnections; }));
+    CHECK_TRUE(this->server.canAccept());
+    asio::ip::tcp::socket waiting = this->connect();
+    asio::write(waiting, asio::buffer(makeRequest("/")));
+    CHECK_TRUE(this->runUntil([this] { return !this->server.canAccept(); }));
+    callers.pop_back();
+    CHECK_TRUE(this->runUntil([this] { return this->exchanges.size() == fewConnections + 1; }));
+    CHECK_TRUE(this->server.canAccept());
+}
