Close the longest idle connection when another caller needs its place

What callers saw: clients that keep connections open and send nothing, or an empty line, took all places; no ordinary caller was answered until their idle time was over.

Cause: only unfinished requests gave way to others, and a connection that waits for a request is none.

Change: when a server is full and a caller waits, the connection that has been idle for longest is closed, unless something has arrived on it meanwhile. None is closed while there is room. An accept that fails for want of descriptors does the same. Such connections are counted and logged.

--- a/src/libs/web/clientrefusal.cpp
+++ b/src/libs/web/clientrefusal.cpp
@@ -31,6 +31,7 @@
     { ClientRefusal::BodyTimeout, "BodyTimeout", BLUEBELL_REFUSAL("408 Request Timeout") },
     { ClientRefusal::MemoryFull, "MemoryFull", BLUEBELL_RETRYABLE_REFUSAL("503 Service Unavailable") },
     { ClientRefusal::Evicted, "Evicted", BLUEBELL_RETRYABLE_REFUSAL("503 Service Unavailable") },
+    { ClientRefusal::IdleConnection, "IdleConnection", "" },
 });
 
 #undef BLUEBELL_REFUSAL
--- a/src/libs/web/clientrefusal.h
+++ b/src/libs/web/clientrefusal.h
@@ -22,17 +22,19 @@
     BodyTimeout,
     MemoryFull,
     Evicted,
+    /** The connection was idle and another caller needed its place. */
+    IdleConnection,
 };
 
-constexpr auto allClientRefusals = std::to_array<ClientRefusal>(
-    { ClientRefusal::MalformedRequest, ClientRefusal::HeadTooLarge, ClientRefusal::EmptyLines,
-        ClientRefusal::BodyTooLarge, ClientRefusal::ChunkHeadTooLarge, ClientRefusal::TrailersTooLarge,
-        ClientRefusal::HeadTimeout, ClientRefusal::BodyTimeout, ClientRefusal::MemoryFull, ClientRefusal::Evicted });
+constexpr auto allClientRefusals = std::to_array<ClientRefusal>({ ClientRefusal::MalformedRequest,
+    ClientRefusal::HeadTooLarge, ClientRefusal::EmptyLines, ClientRefusal::BodyTooLarge,
+    ClientRefusal::ChunkHeadTooLarge, ClientRefusal::TrailersTooLarge, ClientRefusal::HeadTimeout,
+    ClientRefusal::BodyTimeout, ClientRefusal::MemoryFull, ClientRefusal::Evicted, ClientRefusal::IdleConnection });
 
 /** Returns the name of a kind of refusal, as logged and as label of the counter. */
 std::string_view refusalName(ClientRefusal refusal);
 
-/** Returns the whole response; the connection is closed after it. */
+/** Returns the whole response, after which the connection is closed; empty if there is no request to respond to. */
 std::string_view refusalResponse(ClientRefusal refusal);
 
 /** Counts refused clients and logs at most one event a second for each kind. Thread-safe. */
--- a/src/libs/web/connectionacceptor.cpp
+++ b/src/libs/web/connectionacceptor.cpp
@@ -57,7 +57,15 @@
 bool ConnectionAcceptor::canAccept() const
 {
     const TimePoint::rep since = this->blockedSince;
-    return since == 0 || this->clock.now() - TimePoint(TimePoint::duration(since)) < maximumBlockedTime;
+    if (since == 0 || this->elapsedSince(since) < maximumBlockedTime)
+        return true;
+    // After a failure, the next accept only ends when there is another caller.
+    return !this->isFull && this->elapsedSince(this->lastFailure) >= maximumBlockedTime;
+}
+
+Duration ConnectionAcceptor::elapsedSince(TimePoint::rep time) const
+{
+    return this->clock.now() - TimePoint(TimePoint::duration(time));
 }
 
 void ConnectionAcceptor::acceptNext()
@@ -89,18 +97,20 @@
 {
     if (!this->acceptor.is_open())
         return;
-    if (this->connections->size() < this->settings.maximumConnections) {
+    this->isFull = this->connections->size() >= this->settings.maximumConnections;
+    this->setBlocked(this->isFull);
+    if (!this->isFull) {
         this->acceptNext();
         return;
     }
-    this->setBlocked(true);
-    this->connections->notifyOnClose(
+    this->connections->notifyOnChange(
         this->settings.maximumConnections, [weak = this->weak_from_this(), strand = this->strand] {
             asio::post(strand, [weak] {
                 if (const auto self = weak.lock())
                     self->waitForRoom();
             });
         });
+    this->connections->closeLongestIdle(this->settings.maximumConnections - 1);
 }
 
 void ConnectionAcceptor::onAcceptEnded(const asio::error_code& error, asio::ip::tcp::socket socket)
@@ -121,14 +131,19 @@
 
 void ConnectionAcceptor::onAcceptFailed(const asio::error_code& error)
 {
+    const TimePoint now = this->clock.now();
+    if (this->elapsedSince(this->lastFailure) >= maximumBlockedTime)
+        this->setBlocked(false);
     this->setBlocked(true);
+    this->lastFailure = now.time_since_epoch().count();
     ++this->unloggedFailures;
-    if (const TimePoint now = this->clock.now(); now >= this->nextLine) {
+    if (now >= this->nextLine) {
         this->nextLine = now + logInterval;
         Foundation::logEvent(Foundation::Event::AcceptFailed, "",
             "error=\"" + error.message() + "\" failures=" + std::to_string(std::exchange(this->unloggedFailures, 0))
                 + " connections=" + std::to_string(this->connections->size()));
     }
+    this->connections->closeLongestIdle(0);
     this->retryTimer.expires_after(retryDelay);
     this->retryTimer.async_wait([self = this->shared_from_this()](const asio::error_code& timerError) {
         if (!timerError && self->acceptor.is_open())
--- a/src/libs/web/connectionacceptor.h
+++ b/src/libs/web/connectionacceptor.h
@@ -62,6 +62,7 @@
     void onAcceptEnded(const asio::error_code& error, asio::ip::tcp::socket socket);
     void onAcceptFailed(const asio::error_code& error);
     void setBlocked(bool isBlocked);
+    Foundation::Duration elapsedSince(Foundation::TimePoint::rep time) const;
 
     asio::io_context& context;
     Settings settings;
@@ -76,6 +77,9 @@
     std::uint64_t unloggedFailures = 0;
     /** Since when callers wait, in ticks of the clock; 0 if none does. */
     std::atomic<Foundation::TimePoint::rep> blockedSince { 0 };
+    std::atomic<Foundation::TimePoint::rep> lastFailure { 0 };
+    /** Whether a caller waits until a connection is closed. */
+    std::atomic<bool> isFull { false };
 };
 
 } // namespace Web
--- a/src/libs/web/connectionreader.cpp
+++ b/src/libs/web/connectionreader.cpp
@@ -40,6 +40,7 @@
     this->registry->add(connectionNumber, this->shared_from_this());
     this->idleSince = this->guard->clock.now();
     this->beginRequest();
+    this->reportIdle();
 }
 
 void ConnectionReader::detach()
@@ -142,6 +143,7 @@
     ++this->unanswered;
     this->deadline.reset();
     this->beginRequest();
+    this->reportIdle();
     this->handOver(std::move(handler));
 }
 
@@ -193,10 +195,40 @@
     });
 }
 
+void ConnectionReader::closeIfIdle()
+{
+    asio::post(this->executor, [weak = this->weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self || !self->socket || self->isEnding)
+            return;
+        // A request that has just arrived is served.
+        if (!self->isIdle() || self->hasUnreadBytes()) {
+            self->registry->setIdle(self->connection, self->isReportedIdle = self->isIdle());
+            return;
+        }
+        self->guard->refusals.add(ClientRefusal::IdleConnection, self->guard->memory->heldBytes());
+        self->isEnding = true;
+        self->cancelRead();
+    });
+}
+
+bool ConnectionReader::isIdle() const
+{
+    return !this->isEnding && this->unanswered == 0 && this->request.phase() == RequestReader::Phase::Idle;
+}
+
+void ConnectionReader::reportIdle()
+{
+    const bool isNowIdle = this->isIdle();
+    if (std::exchange(this->isReportedIdle, isNowIdle) != isNowIdle)
+        this->registry->setIdle(this->connection, isNowIdle);
+}
+
 void ConnectionReader::refuse(ClientRefusal refusal)
 {
     if (!this->socket || std::exchange(this->isEnding, true))
         return;
+    this->reportIdle();
     this->request.clear();
     this->guard->refusals.add(refusal, this->guard->memory->heldBytes());
     // A response must not come before those to earlier requests on the connection.
@@ -248,6 +280,7 @@
         this->deadline = this->guard->clock.now() + this->limits.bodyStallTime;
         break;
     }
+    this->reportIdle();
     this->waitForDeadline();
 }
 
--- a/src/libs/web/connectionreader.h
+++ b/src/libs/web/connectionreader.h
@@ -47,6 +47,9 @@
     /** Tells that the response to the oldest request was written or has failed. May be called on any thread. */
     void onAnswered();
 
+    /** Closes the connection if it still waits for a request, so that another caller has room. Thread-safe. */
+    void closeIfIdle();
+
 private:
     void beginRequest();
     void readMore(ReadHandler handler);
@@ -59,6 +62,8 @@
     void endAfter(Foundation::Duration delay);
     void cancelRead();
     void updateDeadline();
+    bool isIdle() const;
+    void reportIdle();
     void waitForDeadline();
     void onDeadline();
     bool hasUnreadBytes() const;
@@ -89,6 +94,7 @@
     RequestReader::Phase lastPhase = RequestReader::Phase::Idle;
     /** The number of bytes of the body when the deadline was set. */
     std::size_t progressMark = 0;
+    bool isReportedIdle = false;
     bool isEnding = false;
     std::size_t discardedBytes = 0;
 };
--- a/tests/auto/web/tst_connectionends.cpp
+++ b/tests/auto/web/tst_connectionends.cpp
@@ -198,3 +198,44 @@
     CHECK_TRUE(this->runUntil([this] { return this->exchanges.size() == fewConnections + 1; }));
     CHECK_TRUE(this->server.canAccept());
 }
+
+// Idle connections kept ordinary callers out of a server that said it could accept them.
+TEST(ConnectionEndTest, theLongestIdleConnectionOfAFullServerGivesWayToANewCaller)
+{
+    std::vector<asio::ip::tcp::socket> callers;
+    for (std::size_t i = 0; i < fewConnections; ++i) {
+        callers.push_back(this->connect());
+        this->context.run_for(std::chrono::milliseconds(2));
+    }
+    // The first one is busy, and the second one has sent an empty line, which is no request.
+    asio::write(callers[0], asio::buffer(makeRequest("/")));
+    CHECK_TRUE(this->runUntil([this] { return this->exchanges.size() == 1; }));
+    asio::write(callers[1], asio::buffer(std::string("\r\n")));
+    this->context.run_for(std::chrono::milliseconds(5));
+    bool isClosed = false;
+    char byte = 0;
+    callers[1].async_read_some(
+        asio::buffer(&byte, 1), [&](const asio::error_code& error, std::size_t) { isClosed = bool(error); });
+    asio::ip::tcp::socket waiting = this->connect();
+    asio::write(waiting, asio::buffer(makeRequest("/")));
+    CHECK_TRUE(this->runUntil([this] { return this->exchanges.size() == 2; }));
+    CHECK_TRUE(this->runUntil([&] { return isClosed; }));
+    this->exchanges[0]->respond({ 200, "text/plain", {}, "answer" });
+    std::string received;
+    bool isAnswered = false;
+    asio::async_read_until(callers[0], asio::dynamic_buffer(received), "answer",
+        [&](const asio::error_code& error, std::size_t) { isAnswered = !error; });
+    CHECK_TRUE(this->runUntil([&] { return isAnswered; }));
+    LONGS_EQUAL(1, this->guard->refusals.count(Web::ClientRefusal::IdleConnection));
+}
+
+TEST(ConnectionEndTest, noIdleConnectionIsClosedWhileThereIsRoom)
+{
+    std::vector<asio::ip::tcp::socket> callers;
+    for (std::size_t i = 0; i < fewConnections; ++i)
+        callers.push_back(this->connect());
+    this->context.run_for(std::chrono::milliseconds(50));
+    LONGS_EQUAL(0, this->guard->refusals.count(Web::ClientRefusal::IdleConnection));
+    asio::write(callers[0], asio::buffer(makeRequest("/")));
+    CHECK_TRUE(this->runUntil([this] { return this->exchanges.size() == 1; }));
+}
