Divide the sockets of a gateway between callers, upstreams and the store

What callers saw: while upstreams were silent, callers and the calls to upstreams together used up the descriptors of the process, which then could neither accept nor reach the store.

Cause: callers had half of the descriptors, connections to upstreams had no bound, and the descriptors that the platform keeps for files were counted in.

Change: two fifths of the sockets are for callers and 45 in 100 for upstreams. A request beyond two fifths of the sockets gets 503 with Retry-After at once (code 2024 ProcessFull). Idle connections to upstreams give way to calls, and calls to the store have their own pool.

--- a/src/apps/gateway/gatewaycore.cpp
+++ b/src/apps/gateway/gatewaycore.cpp
@@ -82,7 +82,9 @@
     , settings(settings)
     , callerGuard(std::make_shared<Web::ReceiveGuard>(makeReceiveLimits(settings.receive, {}),
           makeReceiveMemorySettings(settings.receive, settings.node.memoryBytes), this->clock))
-    , transfers(context)
+    , socketShares(makeSocketShares(settings.receive, settings.node.maximumSockets))
+    , transfers(context, this->socketShares.upstreams)
+    , storeTransfers(context)
     , engineOrders(this->transfers)
     , memoryLeases(
           this->engineOrders, this->clock, settings.node.name + "-" + Foundation::makeIdentifier().substr(0, 8) + "-")
@@ -135,7 +137,7 @@
           { [this](const std::string& peer, const Wire::Message& message) { this->peers.sendTo(peer, message); },
               [this] { return this->peers.reachableGateways(); }, [this] { return this->peers.presentMemberCount(); },
               [this] { this->onLoadChanged(false); } })
-    , storeSynchronizer(this->transfers, this->clock, this->bootClock, this->metrics, this->settings,
+    , storeSynchronizer(this->storeTransfers, this->clock, this->bootClock, this->metrics, this->settings,
           { [this] { this->onStoreCacheChanged(); },
               [this](const std::string& upstreamGeneration) {
                   this->health.remove(upstreamGeneration);
@@ -215,8 +217,12 @@
 void GatewayCore::serve(const std::shared_ptr<Web::HttpExchange>& exchange)
 {
     const auto request = std::make_shared<ProxiedRequest>(this->proxyContext, exchange);
+    const bool isFull = this->requests.size() >= this->socketShares.requests;
     this->requests[request.get()] = request;
-    request->start();
+    if (isFull)
+        request->refuse(Foundation::ResultCode::ProcessFull);
+    else
+        request->start();
 }
 
 bool GatewayCore::isReady() const
--- a/src/apps/gateway/gatewaycore.h
+++ b/src/apps/gateway/gatewaycore.h
@@ -103,7 +103,10 @@
     Foundation::SystemWallClock wallClock;
     Foundation::MetricRegistry metrics;
     std::shared_ptr<Web::ReceiveGuard> callerGuard;
+    SocketShares socketShares;
     Platform::HttpTransfers transfers;
+    /** Apart from the calls to upstreams, so that these cannot take all connections. */
+    Platform::HttpTransfers storeTransfers;
     PlatformAdapter::EngineOrders engineOrders;
     MemoryLeaseManager<PlatformAdapter::EngineOrders> memoryLeases;
     Placement::LoadLedger ledger;
--- a/src/apps/gateway/main.cpp
+++ b/src/apps/gateway/main.cpp
@@ -23,8 +23,6 @@
 using Foundation::Event;
 using Foundation::logEvent;
 
-// The platform and the operator's tools use only a few connections to these listeners.
-constexpr std::size_t maximumServiceConnections = 64;
 // The settings file may change without a SIGHUP, so it is also read at this interval.
 constexpr auto settingsPollInterval = std::chrono::seconds(1);
 constexpr int okStatus = 200;
@@ -109,20 +107,19 @@
         context.stop();
     };
     const auto& node = settings.node;
+    const Gateway::SocketShares shares = Gateway::makeSocketShares(settings.receive, node.maximumSockets);
     const auto listen = [&core](const std::string& address, std::uint16_t port, std::size_t maximumConnections) {
         return Web::HttpServerSettings { address, port, 0, core.receiveGuard(), maximumConnections };
     };
-    Web::HttpServer callers(context,
-        listen(node.callerEndpoint.address, node.callerEndpoint.port,
-            Gateway::maximumCallerConnections(settings.receive, node.maximumDescriptors)),
+    Web::HttpServer callers(context, listen(node.callerEndpoint.address, node.callerEndpoint.port, shares.callers),
         [&core](const std::shared_ptr<Web::HttpExchange>& exchange) { core.serve(exchange); });
     Web::HttpServer readiness(context,
-        listen(node.readinessEndpoint.address, node.readinessEndpoint.port, maximumServiceConnections),
+        listen(node.readinessEndpoint.address, node.readinessEndpoint.port, shares.service),
         [&core, &callers](const std::shared_ptr<Web::HttpExchange>& exchange) {
             exchange->respond(core.isReady() && callers.canAccept() ? plainTextReply(okStatus, "ready\n")
                                                                     : plainTextReply(unavailableStatus, "not ready\n"));
         });
-    Web::HttpServer metrics(context, listen(node.address, settings.metricsPort, maximumServiceConnections),
+    Web::HttpServer metrics(context, listen(node.address, settings.metricsPort, shares.service),
         [&core](const std::shared_ptr<Web::HttpExchange>& exchange) {
             exchange->respond(plainTextReply(okStatus, core.renderMetrics()));
         });
--- a/src/apps/gateway/proxiedrequest.cpp
+++ b/src/apps/gateway/proxiedrequest.cpp
@@ -59,12 +59,23 @@
 {
 }
 
-void ProxiedRequest::start()
+void ProxiedRequest::refuse(ResultCode code)
+{
+    this->readRequest();
+    this->fail(code, defaultRetryAfter);
+}
+
+void ProxiedRequest::readRequest()
 {
     this->arrivedAt = this->context.clock.now();
     this->lastDeliveredAt = this->arrivedAt;
     this->request = PlatformAdapter::decodeCallerRequest(this->exchange->request());
     this->deadline = this->arrivedAt + this->request.callerTimeout.value_or(defaultCallerTimeout);
+}
+
+void ProxiedRequest::start()
+{
+    this->readRequest();
     this->exchange->setDisconnectHandler([weak = this->weak_from_this()] {
         if (const auto self = weak.lock())
             self->onCallerGone();
--- a/src/apps/gateway/proxiedrequest.h
+++ b/src/apps/gateway/proxiedrequest.h
@@ -34,10 +34,14 @@
 
     void start();
 
+    /** Refuses the request, which has not been started, so that its caller comes back later. */
+    void refuse(Foundation::ResultCode code);
+
     /** Ends the request if its deadline has passed, and fails over if its upstream has been silent for too long. */
     void checkTimeouts(Foundation::TimePoint now);
 
 private:
+    void readRequest();
     /** Resolves the route, the client account and the service. Refuses the request and returns false on failure. */
     bool resolveRoute();
     /** Resolves the client account. Refuses the request and returns false on failure. */
--- a/src/apps/gateway/receivesettings.cpp
+++ b/src/apps/gateway/receivesettings.cpp
@@ -12,8 +12,15 @@
 // Requests, answers (a quarter) and everything else share the memory; freed blocks that the allocator keeps take a
 // part.
 constexpr std::size_t requestMemoryDivisor = 3;
-// The rest is for upstreams, other gateways and the store.
-constexpr std::size_t callerDescriptorDivisor = 2;
+// Of the sockets of the process.
+constexpr std::size_t callerPercent = 40;
+constexpr std::size_t upstreamPercent = 45;
+// A request may leave the connection of an earlier attempt open for a while, so there are fewer than connections.
+constexpr std::size_t requestPercent = 40;
+constexpr std::size_t servicePercent = 2;
+// The platform and the operator's tools use only a few connections.
+constexpr std::size_t minimumServiceConnections = 4;
+constexpr std::size_t maximumServiceConnections = 64;
 // A head that a caller has sent in time may arrive later by a delay of the network that changes meanwhile.
 constexpr int headTimeToleranceDivisor = 4;
 
@@ -73,10 +80,15 @@
     return { capacity, settings.maximumReceiving };
 }
 
-std::size_t maximumCallerConnections(const ReceiveSettings& settings, std::size_t descriptors)
+SocketShares makeSocketShares(const ReceiveSettings& settings, std::size_t sockets)
 {
-    return settings.maximumConnections > 0 ? settings.maximumConnections
-                                           : std::max<std::size_t>(1, descriptors / callerDescriptorDivisor);
+    const auto share = [sockets](std::size_t percent) { return std::max<std::size_t>(1, sockets * percent / 100); };
+    SocketShares shares;
+    shares.callers = settings.maximumConnections > 0 ? settings.maximumConnections : share(callerPercent);
+    shares.service = std::clamp(share(servicePercent), minimumServiceConnections, maximumServiceConnections);
+    shares.upstreams = share(upstreamPercent);
+    shares.requests = share(requestPercent);
+    return shares;
 }
 
 } // namespace Gateway
--- a/src/libs/foundation/resultcode.cpp
+++ b/src/libs/foundation/resultcode.cpp
@@ -52,6 +52,8 @@
         "All upstreams that were tried rejected the request without running it." },
     { ResultCode::UpstreamLimited, "UpstreamLimited", 503,
         "The upstreams that could run the request have got as many requests as they take for now." },
+    { ResultCode::ProcessFull, "ProcessFull", 503,
+        "The process has as many requests as it has connections to upstreams." },
     { ResultCode::DeadlineExceeded, "DeadlineExceeded", 504, "The deadline of the request passed." },
     { ResultCode::ConnectionLost, "ConnectionLost", 502, "The connection to the agent was lost." },
     { ResultCode::UpstreamFailed, "UpstreamFailed", 502,
--- a/src/libs/foundation/resultcode.h
+++ b/src/libs/foundation/resultcode.h
@@ -43,6 +43,7 @@
     CrashSuspected = 2021,
     UpstreamRejected = 2022,
     UpstreamLimited = 2023,
+    ProcessFull = 2024,
     DeadlineExceeded = 3000,
     ConnectionLost = 3001,
     UpstreamFailed = 3002,
--- a/src/libs/platform/httptransfers.cpp
+++ b/src/libs/platform/httptransfers.cpp
@@ -8,12 +8,6 @@
 
 namespace Platform {
 
-namespace {
-
-constexpr long maximumPooledConnections = 4'096;
-
-} // namespace
-
 // Waits on the context for events of a libcurl socket.
 struct SocketWatch {
     SocketWatch(asio::io_context& context, curl_socket_t socket)
@@ -37,12 +31,13 @@
 };
 
 struct HttpTransfers::State : std::enable_shared_from_this<HttpTransfers::State> {
-    explicit State(asio::io_context& context)
+    State(asio::io_context& context, std::size_t maximumConnections)
         : context(context)
         , multi(curl_multi_init())
         , timer(context)
     {
-        curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, maximumPooledConnections);
+        curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, static_cast<long>(maximumConnections));
+        curl_multi_setopt(this->multi, CURLMOPT_MAX_TOTAL_CONNECTIONS, static_cast<long>(maximumConnections));
         curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, &State::onSocket);
         curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
         curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &State::onTimer);
@@ -264,8 +259,8 @@
     CallId lastId = 0;
 };
 
-HttpTransfers::HttpTransfers(asio::io_context& context)
-    : state(std::make_shared<State>(context))
+HttpTransfers::HttpTransfers(asio::io_context& context, std::size_t maximumConnections)
+    : state(std::make_shared<State>(context, maximumConnections))
 {
 }
 
--- a/src/libs/platform/httptransfers.h
+++ b/src/libs/platform/httptransfers.h
@@ -120,6 +120,8 @@
     }
 };
 
+constexpr std::size_t defaultMaximumConnections = 4'096;
+
 using CallId = std::uint64_t;
 using ResultHandler = std::function<void(HttpCallResult)>;
 
@@ -139,8 +141,10 @@
     /**
      * @param context runs the calls and the handlers; must outlive this object. Only one thread may run it, and all
      *        functions must be called on that thread.
+     * @param maximumConnections the number of connections that may be open, used or idle. Idle ones give way to calls;
+     *        calls that find no room wait until their timeout.
      */
-    explicit HttpTransfers(asio::io_context& context);
+    explicit HttpTransfers(asio::io_context& context, std::size_t maximumConnections = defaultMaximumConnections);
     ~HttpTransfers();
 
     /**
--- a/tests/auto/platformadapter/tst_nodesettings.cpp
+++ b/tests/auto/platformadapter/tst_nodesettings.cpp
@@ -36,6 +36,7 @@
     CHECK_TRUE(settings.value().shutdownGrace == 8s);
     UNSIGNED_LONGS_EQUAL(260'000'000, settings.value().memoryBytes);
     UNSIGNED_LONGS_EQUAL(4'100, settings.value().maximumDescriptors);
+    UNSIGNED_LONGS_EQUAL(3'900, settings.value().maximumSockets);
     DOUBLES_EQUAL(0.18, settings.value().processorCores, 1e-9);
     DOUBLES_EQUAL(102, settings.value().retryAllowance, 1e-9);
 }
