Count what complete requests occupy until they have ended

What callers saw: callers with large heads within the limits, on as many connections as the process takes, exceeded its memory while their requests waited, and the platform ended it with all their answers.

Change: a complete request counts with its body, the copies of its head, its fields, its exchange and its call.

Evidence: completeRequestsThatDoNotFitTogetherAreRefused (new) fails on the code before.

--- a/src/libs/web/receivememory.cpp
+++ b/src/libs/web/receivememory.cpp
@@ -49,14 +49,16 @@
     this->entry->lastProgress = this->memory->clock.now();
 }
 
-bool ReceiveMemory::Share::complete()
+std::optional<ClientRefusal> ReceiveMemory::Share::complete(std::size_t bytes)
 {
     const std::lock_guard lock(this->memory->mutex);
     if (this->entry->isEvicted)
-        return false;
+        return ClientRefusal::Evicted;
+    if (!this->memory->makeRoomForComplete(*this->entry, bytes))
+        return ClientRefusal::MemoryFull;
     this->entry->isComplete = true;
-    this->memory->set(*this->entry, this->entry->bytes);
-    return true;
+    this->memory->set(*this->entry, bytes);
+    return std::nullopt;
 }
 
 ReceiveMemory::ReceiveMemory(const Settings& settings, const Foundation::Clock& clock)
@@ -114,6 +116,17 @@
     return true;
 }
 
+bool ReceiveMemory::makeRoomForComplete(Share::Entry& entry, std::size_t bytes)
+{
+    while (this->held - entry.bytes > this->settings.capacity - std::min(this->settings.capacity, bytes)) {
+        Share::Entry* const victim = this->findVictim(entry, bytes);
+        if (!victim)
+            return false;
+        this->evict(*victim);
+    }
+    return true;
+}
+
 ReceiveMemory::Share::Entry* ReceiveMemory::findVictim(const Share::Entry& requester, std::size_t bytes)
 {
     const Foundation::TimePoint now = this->clock.now();
--- a/src/libs/web/receivememory.h
+++ b/src/libs/web/receivememory.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "clientrefusal.h"
+
 #include <foundation/clock.h>
 
 #include <cstddef>
@@ -8,6 +10,7 @@
 #include <list>
 #include <memory>
 #include <mutex>
+#include <optional>
 
 namespace Web {
 
@@ -15,11 +18,13 @@
  * The memory that a process has for requests from their first byte until they have ended. A request may hold as much
  * as is still free beside all others (the dynamic thresholds of Choudhury and Hahne). One that needs more evicts
  * requests that are still being received and that hold much without making progress; if there are none, it is refused
- * itself. The load: many clients at once that send large or endless requests and do not finish them. Thread-safe.
+ * itself. A complete request is refused if what it will occupy does not fit beside all others, whatever its size. The
+ * load: many clients at once that send large or endless requests and do not finish them, or more complete ones than
+ * upstreams can serve. Thread-safe.
  */
 class ReceiveMemory {
 public:
-    /** A request that holds no more than this is not refused for want of memory. */
+    /** A request that holds no more than this is not refused for want of memory while it is received. */
     static constexpr std::size_t smallRequestBytes = 16 * 1024;
     /** A client that has sent this many bytes of a body has made progress. */
     static constexpr std::size_t progressBytes = 1024;
@@ -49,8 +54,12 @@
         /** Records that bytes of the request were received. */
         void addReceived(std::size_t bytes);
 
-        /** Records that the request was received completely, after which it is not evicted. Returns false if it was. */
-        bool complete();
+        /**
+         * Records that the request was received completely, after which it is not evicted.
+         * @param bytes what it occupies until it has ended.
+         * @return why the request is refused; none if it is accepted.
+         */
+        std::optional<ClientRefusal> complete(std::size_t bytes);
 
     private:
         friend class ReceiveMemory;
@@ -81,6 +90,7 @@
 
     bool canHold(const Share::Entry& entry, std::size_t bytes) const;
     bool makeRoom(Share::Entry& entry, std::size_t bytes);
+    bool makeRoomForComplete(Share::Entry& entry, std::size_t bytes);
     Share::Entry* findVictim(const Share::Entry& requester, std::size_t bytes);
     Share::Entry* findMostIdle(const Share::Entry& requester);
     void evict(Share::Entry& entry);
--- a/src/libs/web/requestreader.cpp
+++ b/src/libs/web/requestreader.cpp
@@ -16,6 +16,12 @@
 // What a connection occupies for a request apart from its head and body.
 constexpr std::size_t fixedBytes = 1024;
 constexpr std::size_t firstBodyBytes = 4096;
+// What a complete request occupies apart from its head and body: its exchange, and a call with its buffers.
+constexpr std::size_t servedBytes = 32 * 1024;
+// The text of a head is held by the server, in the list of fields, in the lines for the upstream and by libcurl.
+constexpr std::size_t headCopies = 4;
+// The strings and list nodes of all these copies of a field.
+constexpr std::size_t fieldOverheadBytes = 256;
 
 /** A body with the share that accounts for it. */
 struct ReceivedBody {
@@ -141,8 +147,10 @@
     if (this->isRefused)
         return { Outcome::Refused, skipped + parsed, this->reason };
     if (this->isComplete) {
-        if (!this->share->complete())
-            return { Outcome::Refused, skipped + parsed, ClientRefusal::Evicted };
+        const std::size_t occupied
+            = servedBytes + this->body.capacity() + headCopies * this->head.size() + fieldOverheadBytes * this->fields;
+        if (const auto refusal = this->share->complete(occupied))
+            return { Outcome::Refused, skipped + parsed, *refusal };
         return { Outcome::Complete, skipped + parsed };
     }
     if (HTTP_PARSER_ERRNO(&this->parser) != HPE_OK) {
--- a/tests/auto/web/tst_requestreader.cpp
+++ b/tests/auto/web/tst_requestreader.cpp
@@ -145,7 +145,7 @@
     CHECK_TRUE(result.outcome == RequestReader::Outcome::Refused && result.refusal == ClientRefusal::MemoryFull);
     this->reader.clear();
     ReceiveMemory::Share other(this->memory, [] {});
-    CHECK_TRUE(other.resize(90'000) && other.complete());
+    CHECK_TRUE(other.resize(90'000) && !other.complete(90'000));
     RequestReader small;
     this->restart(small);
     CHECK_TRUE(
@@ -163,3 +163,24 @@
     }
     CHECK_TRUE(isEvicted[0] && !isEvicted[1] && !isEvicted[4]);
 }
+
+// What a request occupied after it had been received was not counted, and complete requests had no bound.
+TEST(RequestReaderTest, completeRequestsThatDoNotFitTogetherAreRefused)
+{
+    std::string head = "GET / HTTP/1.1\r\n";
+    for (int i = 0; i < 9; ++i)
+        head += "A: " + std::string(90, 'b') + "\r\n";
+    std::vector<std::shared_ptr<const std::string>> bodies;
+    RequestReader::Result result;
+    for (int i = 0; i < 20 && result.outcome != RequestReader::Outcome::Refused; ++i) {
+        this->restart(this->reader);
+        result = this->read(head + "\r\n");
+        if (result.outcome == RequestReader::Outcome::Complete)
+            bodies.push_back(this->reader.takeBody());
+    }
+    CHECK_TRUE(result.outcome == RequestReader::Outcome::Refused && result.refusal == ClientRefusal::MemoryFull);
+    CHECK_TRUE(!bodies.empty() && this->memory->heldBytes() <= 200'000 + 16'384);
+    bodies.clear();
+    this->restart(this->reader);
+    CHECK_TRUE(this->read(head + "\r\n").outcome == RequestReader::Outcome::Complete);
+}
