Give back the memory of a discarded event

What callers saw: streams with large events that failed over made the process exceed its memory, which ended it with all its answers.

Cause: the unfinished event of a failed attempt was cleared, which keeps its memory, while the share of the next attempt counted from 0.

Change: its memory is freed. The only complete event of a part is handed on without a copy.

--- a/src/libs/relay/eventsplitter.cpp
+++ b/src/libs/relay/eventsplitter.cpp
@@ -46,15 +46,19 @@
         this->recordEvent(this->buffer);
         if (this->outOfOrder)
             break;
-        // Gives back what a large event took.
-        complete += std::exchange(this->buffer, {});
+        // Gives back what a large event took, and does not copy a single one.
+        if (complete.empty())
+            complete = std::exchange(this->buffer, {});
+        else
+            complete += std::exchange(this->buffer, {});
     }
     return complete;
 }
 
 void EventSplitter::discardPartialEvent()
 {
-    this->buffer.clear();
+    // Gives back what a large event took.
+    std::string().swap(this->buffer);
     this->scanner.reset();
 }
 
--- a/tests/auto/relay/tst_eventsplitter.cpp
+++ b/tests/auto/relay/tst_eventsplitter.cpp
@@ -107,3 +107,12 @@
     CHECK_TRUE(std::chrono::steady_clock::now() - begin < std::chrono::seconds(5));
     CHECK_TRUE(splitter.isInsideEvent());
 }
+
+// A stream that failed over kept the memory of its unfinished event, which was not counted any more.
+TEST(EventSplitterTest, aDiscardedEventGivesItsMemoryBack)
+{
+    EventSplitter splitter;
+    splitter.feed("data: " + std::string(1'000'000, 'x'));
+    splitter.discardPartialEvent();
+    CHECK_TRUE(splitter.partialEvent().capacity() < 1'000);
+}
