Count what a caller has not received until it is given back

What callers saw: clients that ask for streams and read nothing made the process exceed its memory.

Cause: a part that arrived after a pause replaced the size of the unsent parts in the share of the answer, and an aborted response kept its unsent parts for up to a minute after its share was given back.

Change: a stream counts its unfinished event, its complete events and its unsent parts together; the limit for an event that does not end applies to that event alone. A response that is aborted with more than 64 KB unsent closes its connection at once.

Evidence: anAbortedResponseDoesNotKeepWhatItsCallerDoesNotRead (new) failed on the code before.

--- a/src/apps/gateway/proxiedanswer.cpp
+++ b/src/apps/gateway/proxiedanswer.cpp
@@ -150,8 +150,10 @@
         this->onAttemptFailed(RunOutcome::MayHaveRun, ResultCode::AnswerIncomplete, true);
         return;
     }
-    this->attempt->memory->resize(this->events.partialEvent().capacity());
-    if (!this->attempt->memory->isWithinLimit()) {
+    // Parts that were read before a pause still arrive, beside what the caller has not received yet.
+    const std::size_t partialBytes = this->events.partialEvent().capacity();
+    this->attempt->memory->resize(partialBytes + completeEvents.capacity() + this->exchange->unsentBytes());
+    if (partialBytes > this->attempt->memory->limit()) {
         this->onAnswerTooLarge();
         return;
     }
--- a/src/libs/web/connectionreader.cpp
+++ b/src/libs/web/connectionreader.cpp
@@ -195,6 +195,18 @@
     });
 }
 
+void ConnectionReader::disconnect()
+{
+    asio::post(this->executor, [weak = this->weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self || !self->socket)
+            return;
+        // The server closes the connection when its write fails.
+        asio::error_code ignored;
+        self->socket->shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    });
+}
+
 void ConnectionReader::closeIfIdle()
 {
     asio::post(this->executor, [weak = this->weak_from_this()] {
--- a/src/libs/web/connectionreader.h
+++ b/src/libs/web/connectionreader.h
@@ -47,6 +47,9 @@
     /** Tells that the response to the oldest request was written or has failed. May be called on any thread. */
     void onAnswered();
 
+    /** Breaks the connection off; what was not sent yet is dropped. Thread-safe. */
+    void disconnect();
+
     /** Closes the connection if it still waits for a request, so that another caller has room. Thread-safe. */
     void closeIfIdle();
 
--- a/src/libs/web/httpserver.cpp
+++ b/src/libs/web/httpserver.cpp
@@ -24,6 +24,8 @@
 // The server continues to read while it serves a request, to detect that the connection was closed. A second request
 // may arrive in the meantime.
 constexpr std::size_t pipelinedRequests = 2;
+// What is sent of an aborted response, so that callers that read get the parts that were written.
+constexpr std::size_t maximumUnsentAtAbort = 64 * 1024;
 
 class RestinioExchange;
 
@@ -189,6 +191,9 @@
         this->isAnswered = true;
         const std::lock_guard lock(this->streamMutex);
         this->stream.reset();
+        // Nobody accounts any more for what a caller that does not read has not received.
+        if (const auto found = this->reader.lock(); found && this->unsentBytes() > maximumUnsentAtAbort)
+            found->disconnect();
         // The terminating chunk of the body is never sent, so the caller sees that the response is incomplete.
         restinio::writable_items_container_t items;
         items.emplace_back(std::string());
--- a/tests/auto/web/tst_httpserver.cpp
+++ b/tests/auto/web/tst_httpserver.cpp
@@ -126,3 +126,24 @@
     STRCMP_CONTAINS("HTTP/1.1 413 ", this->received.c_str());
     CHECK_TRUE(this->exchanges.empty());
 }
+
+// What the caller of an aborted response did not read was kept for up to a minute and not counted.
+TEST(HttpServerTest, anAbortedResponseDoesNotKeepWhatItsCallerDoesNotRead)
+{
+    this->send(request, 1);
+    this->exchanges[0]->beginStream({ 200, "text/plain" });
+    this->exchanges[0]->write(std::string(64'000'000, 'x'));
+    this->context.run_for(std::chrono::milliseconds(50));
+    CHECK_TRUE(this->exchanges[0]->unsentBytes() > 0);
+    this->exchanges[0]->abort();
+    CHECK_TRUE(this->runUntil([this] { return this->exchanges[0]->unsentBytes() == 0; }));
+}
+
+TEST(HttpServerTest, anAbortedResponseIsSentAsFarAsItWasWritten)
+{
+    this->send(request, 1);
+    this->exchanges[0]->beginStream({ 200, "text/plain" });
+    this->exchanges[0]->write("the last answer");
+    this->exchanges[0]->abort();
+    this->readAnswer();
+}
