Refuse heads for their size, not for the number of their fields

What callers saw: 431 for a request with 520 fields and 8 KB in all, where the document allows 16,384 bytes.

Cause: a limit of 512 fields, which stood in for the memory that they take; that is counted now. The parser's own limit of 80 KB, and those for targets, trailers and pauses in a body, could be reached within a document, too.

Change: the number of fields has no limit unless the settings name one, and no other limit is lower than what the document allows. The parser's limit is lifted, since the reader has its own.

--- a/src/apps/gateway/receivesettings.cpp
+++ b/src/apps/gateway/receivesettings.cpp
@@ -49,7 +49,7 @@
     settings.maximumConnections = readSize(reader, "maximumConnections", 0, mebibyte, settings.maximumConnections);
     limits.maximumHeaderBytes = readSize(reader, "maximumHeaderBytes", 1024, mebibyte, limits.maximumHeaderBytes);
     limits.maximumTargetBytes = readSize(reader, "maximumTargetBytes", 256, mebibyte, limits.maximumTargetBytes);
-    limits.maximumFields = readSize(reader, "maximumFields", 16, 16'384, limits.maximumFields);
+    limits.maximumFields = readSize(reader, "maximumFields", 16, mebibyte, limits.maximumFields);
     limits.maximumEmptyLineBytes = readSize(reader, "maximumEmptyLineBytes", 2, mebibyte, limits.maximumEmptyLineBytes);
     limits.maximumChunkHeadBytes = readSize(reader, "maximumChunkHeadBytes", 32, 65'536, limits.maximumChunkHeadBytes);
     limits.maximumTrailerBytes = readSize(reader, "maximumTrailerBytes", 64, 65'536, limits.maximumTrailerBytes);
@@ -70,6 +70,11 @@
     if (callerLimits.headerTimeout)
         limits.headTime = *callerLimits.headerTimeout + *callerLimits.headerTimeout / headTimeToleranceDivisor;
     limits.idleTime = callerLimits.idleTimeout.value_or(limits.idleTime);
+    // Callers know the limits of the document only, so no other limit is reached within these.
+    limits.maximumTargetBytes = std::max(limits.maximumTargetBytes, limits.maximumHeaderBytes);
+    limits.maximumTrailerBytes = std::max(limits.maximumTrailerBytes, limits.maximumHeaderBytes);
+    if (callerLimits.idleTimeout)
+        limits.bodyStallTime = std::max(limits.bodyStallTime, *callerLimits.idleTimeout);
     return limits;
 }
 
--- a/src/libs/web/receivelimits.h
+++ b/src/libs/web/receivelimits.h
@@ -12,7 +12,8 @@
     /** The header fields of a request, with their line ends. */
     std::size_t maximumHeaderBytes = 64 * 1024;
     std::size_t maximumTargetBytes = 16 * 1024;
-    std::size_t maximumFields = 512;
+    /** More than fit into a head, whose size already bounds them, unless the settings name fewer. */
+    std::size_t maximumFields = 1024 * 1024;
     /** Line ends before the first line of a request. */
     std::size_t maximumEmptyLineBytes = 64;
     /** The size line of a chunk, with its extensions. */
--- a/src/libs/web/requestreader.cpp
+++ b/src/libs/web/requestreader.cpp
@@ -3,6 +3,8 @@
 #include "httprequest.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 namespace Web {
@@ -11,8 +13,8 @@
 
 // The method, the version and the line ends of a head.
 constexpr std::size_t requestLineBytes = 64;
-// ": " and the line end.
-constexpr std::size_t fieldFramingBytes = 4;
+// ":" and the line end; a blank before the value is optional.
+constexpr std::size_t fieldFramingBytes = 3;
 // What a connection occupies for a request apart from its head and body.
 constexpr std::size_t fixedBytes = 1024;
 constexpr std::size_t firstBodyBytes = 4096;
@@ -93,7 +95,15 @@
     }
 };
 
-RequestReader::RequestReader() { http_parser_init(&this->parser, HTTP_REQUEST); }
+RequestReader::RequestReader()
+{
+    // The parser's own limit for heads is lower than what settings and documents may name.
+    static const bool isParserLimitLifted [[maybe_unused]] = [] {
+        http_parser_set_max_header_size(std::numeric_limits<std::uint32_t>::max());
+        return true;
+    }();
+    http_parser_init(&this->parser, HTTP_REQUEST);
+}
 
 void RequestReader::restart(const ReceiveLimits& newLimits, std::shared_ptr<ReceiveMemory::Share> newShare)
 {
@@ -154,10 +164,7 @@
         return { Outcome::Complete, skipped + parsed };
     }
     if (HTTP_PARSER_ERRNO(&this->parser) != HPE_OK) {
-        // The parser has a limit of its own for heads and for the framing of chunks.
-        const bool isOverflow = HTTP_PARSER_ERRNO(&this->parser) == HPE_HEADER_OVERFLOW;
-        return { Outcome::Refused, skipped + parsed,
-            isOverflow ? ClientRefusal::HeadTooLarge : ClientRefusal::MalformedRequest };
+        return { Outcome::Refused, skipped + parsed, ClientRefusal::MalformedRequest };
     }
     if (this->isHeadComplete) {
         this->framingBytes += static_cast<std::size_t>(data.data() + data.size() - this->cursor);
--- a/tests/auto/gateway/tst_gatewaysettings.cpp
+++ b/tests/auto/gateway/tst_gatewaysettings.cpp
@@ -70,3 +70,15 @@
     STRCMP_CONTAINS("maximumFields", settings.error().message.c_str());
     STRCMP_CONTAINS("typo", settings.error().message.c_str());
 }
+
+// Callers know only the limits of the document.
+TEST(GatewaySettingsTest, noLimitOfTheProcessIsReachedWithinThoseOfTheDocument)
+{
+    Policy::CallerLimits document;
+    document.maximumHeaderBytes = 200'000;
+    document.idleTimeout = std::chrono::seconds(60);
+    const Web::ReceiveLimits limits = makeReceiveLimits({}, document);
+    CHECK_TRUE(limits.maximumTargetBytes >= 200'000 && limits.maximumTrailerBytes >= 200'000);
+    CHECK_TRUE(limits.maximumFields >= 200'000);
+    CHECK_TRUE(limits.bodyStallTime >= std::chrono::seconds(60));
+}
--- a/tests/auto/web/tst_httpserver.cpp
+++ b/tests/auto/web/tst_httpserver.cpp
@@ -147,3 +147,13 @@
     this->exchanges[0]->abort();
     this->readAnswer();
 }
+
+TEST(HttpServerTest, aHeadOfTheLargestSizeIsHandedOverWhole)
+{
+    std::string head = "GET / HTTP/1.1\r\n";
+    std::size_t fields = 0;
+    for (; head.size() < 64 * 1024; ++fields)
+        head += "a:b\r\n";
+    this->send(head + "\r\n", 1);
+    CHECK_EQUAL(fields, this->exchanges[0]->request().headers.size());
+}
--- a/tests/auto/web/tst_requestreader.cpp
+++ b/tests/auto/web/tst_requestreader.cpp
@@ -184,3 +184,31 @@
     this->restart(this->reader);
     CHECK_TRUE(this->read(head + "\r\n").outcome == RequestReader::Outcome::Complete);
 }
+
+// A head of 520 short fields was refused, although it was far smaller than the limit that callers know.
+TEST(RequestReaderTest, aHeadIsRefusedForItsSizeAndNotForTheNumberOfItsFields)
+{
+    this->limits = {};
+    this->limits.maximumHeaderBytes = 16'384;
+    const std::string line = "GET / HTTP/1.1\r\n";
+    for (const std::string field : { "a:\r\n", "a:b\r\n", "Name: value\r\n" }) {
+        for (const std::size_t pieceBytes : { std::size_t(100), std::size_t(4'096) }) {
+            this->memory->setSettings({ 100'000'000, 4 });
+            this->restart(this->reader);
+            const std::string fields = repeat(field, (16'384 - 2) / field.size());
+            CHECK_TRUE(this->read(line + fields + "\r\n", pieceBytes).outcome == RequestReader::Outcome::Complete);
+            this->checkRefused(line + repeat(field, 2 * 16'384 / field.size()) + "\r\n", ClientRefusal::HeadTooLarge);
+        }
+    }
+}
+
+// The parser refuses heads of more than 80 KB by itself.
+TEST(RequestReaderTest, aHeadOfTheLargestSizeThatSettingsMayNameIsRead)
+{
+    this->limits = {};
+    this->limits.maximumHeaderBytes = 1024 * 1024;
+    this->memory->setSettings({ 100'000'000, 4 });
+    this->restart(this->reader);
+    const std::string fields = repeat("Name: " + std::string(1'000, 'x') + "\r\n", 1'000);
+    CHECK_TRUE(this->read("GET / HTTP/1.1\r\n" + fields + "\r\n", 4'096).outcome == RequestReader::Outcome::Complete);
+}
