Keep each line of the log within what a pipe takes without blocking

What callers saw: nothing was answered any more while the log was not read, after two requests with ids of 11,500 bytes.

Cause: poll() says that a pipe is ready while 4,096 bytes are free, and a line with such an id is longer.

Change: request ids and details are shortened, with their length, so that a line has at most 3,900 bytes and the time.

--- a/src/libs/foundation/logging.cpp
+++ b/src/libs/foundation/logging.cpp
@@ -52,6 +52,23 @@
     return log4cplus::INFO_LOG_LEVEL;
 }
 
+// A pipe takes a line of up to PIPE_BUF (4096) bytes without blocking when poll() says that it is ready. The layout
+// adds the time.
+constexpr std::size_t maximumTextBytes = 3'900;
+constexpr std::size_t maximumRequestIdBytes = 256;
+constexpr std::size_t maximumDetailBytes = 2'048;
+// Escaping makes a text up to six times as long, which these still leave room for.
+constexpr std::size_t maximumEscapedRequestIdBytes = 64;
+constexpr std::size_t maximumEscapedDetailBytes = 256;
+
+// Returns a text that tells its length if it had to be shortened.
+std::string shortened(std::string_view text, std::size_t maximumBytes)
+{
+    if (text.size() <= maximumBytes)
+        return std::string(text);
+    return std::string(text.substr(0, maximumBytes)) + "... (" + std::to_string(text.size()) + " bytes)";
+}
+
 // Returns whether a line can be written to standard output without blocking.
 bool isOutputReady()
 {
@@ -76,7 +93,8 @@
     return std::exchange(state.droppedCount, 0);
 }
 
-void writeLine(LogState& state, const EventEntry& entry, std::string_view requestId, std::string_view detail)
+std::string makeLine(
+    const LogState& state, const EventEntry& entry, const std::string& requestId, const std::string& detail)
 {
     const nlohmann::ordered_json line = {
         { "program", state.program },
@@ -86,7 +104,16 @@
         { "request", requestId },
         { "detail", detail },
     };
-    const std::string text = line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+    return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+void writeLine(LogState& state, const EventEntry& entry, std::string_view requestId, std::string_view detail)
+{
+    std::string text
+        = makeLine(state, entry, shortened(requestId, maximumRequestIdBytes), shortened(detail, maximumDetailBytes));
+    if (text.size() > maximumTextBytes)
+        text = makeLine(state, entry, shortened(requestId, maximumEscapedRequestIdBytes),
+            shortened(detail, maximumEscapedDetailBytes));
     // The layout supplies the opening brace and the time.
     state.logger.forcedLog(toLevel(entry.severity), text.substr(1, text.size() - 2));
 }
@@ -129,8 +156,15 @@
     const auto droppedBefore = admitLine(*state);
     if (!droppedBefore)
         return;
-    if (*droppedBefore > 0)
+    if (*droppedBefore > 0) {
         writeLine(*state, eventEntry(Event::LinesDropped), "", "lines=" + std::to_string(*droppedBefore));
+        // There may have been room for that line alone.
+        if (!isOutputReady()) {
+            const std::lock_guard lock(state->mutex);
+            ++state->droppedCount;
+            return;
+        }
+    }
     writeLine(*state, entry, requestId, detail);
 }
 
--- a/src/libs/foundation/logging.h
+++ b/src/libs/foundation/logging.h
@@ -16,7 +16,8 @@
 
 /**
  * Sets up the structured log of the process on standard output, with one JSON object per line. A line is dropped if the
- * output would block, so that logging never delays the process.
+ * output would block, so that logging never delays the process. Long request ids and details are shortened, with their
+ * length, so that a line is written as a whole.
  * @param program the name of the program, written on each line.
  * @param instance the identifier of the instance, written on each line.
  */
