Take no status outside 100 to 599 for an answer

What callers saw: the statuses 600 and 999 of an upstream, and an answer that followed a status below 100.

Cause: the parser of answers took any three digits for a status, and those below 200 for an interim answer.

Change: such an answer is malformed (RFC 9110, 15).

--- a/src/libs/platform/answerparser.cpp
+++ b/src/libs/platform/answerparser.cpp
@@ -22,7 +22,10 @@
 constexpr std::size_t maximumFramingFactor = 4;
 constexpr std::size_t freeFramingBytes = 64 * 1024;
 constexpr unsigned switchingProtocols = 101;
+constexpr unsigned firstStatus = 100;
 constexpr unsigned firstFinalStatus = 200;
+// RFC 9110, 15: others are invalid.
+constexpr unsigned lastStatus = 599;
 constexpr unsigned versionWithChunks = 11;
 
 std::string_view toView(boost::beast::string_view text) { return { text.data(), text.size() }; }
@@ -128,6 +131,8 @@
     const bool isParsed = !error || (error == Http::error::need_more && this->parser->hasHead);
     if (!isParsed || !this->parser->hasHead)
         return this->fail("the head of the answer is malformed");
+    if (this->parser->status < firstStatus || this->parser->status > lastStatus)
+        return this->fail("the status of the answer is invalid");
     if (this->parser->status == switchingProtocols)
         return this->fail("the answer changes the protocol, which was not asked for");
     if (this->parser->status < firstFinalStatus) {
--- a/tests/auto/platform/tst_answerframing.cpp
+++ b/tests/auto/platform/tst_answerframing.cpp
@@ -135,6 +135,21 @@
     });
 }
 
+// RFC 9110, 15. A status of 600 or more was passed on, and one below 100 was taken for an interim answer.
+TEST(AnswerFraming, aStatusOutsideTheDefinedClassesIsNoAnswer)
+{
+    for (const std::string status : { "000", "001", "099", "600", "999" }) {
+        const std::string line = "HTTP/1.1 " + status + " Status";
+        checkMalformed({ withStatusLine(line), line + "\r\n\r\n" + withStatusLine("HTTP/1.1 200 OK") });
+    }
+    checkBody({ withStatusLine("HTTP/1.1 599 Status"), withStatusLine("HTTP/1.1 200 OK") }, "0123456789");
+}
+
+TEST(AnswerFraming, anInterimAnswerThatNothingFollowsIsNoAnswer)
+{
+    checkMalformed({ "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" });
+}
+
 TEST(AnswerFraming, anAnswerWithMoreFramingThanContentIsGivenUp)
 {
     std::string interim;
