--- a/src/libs/web/httpserver.h
+++ b/src/libs/web/httpserver.h
@@ -49,8 +49,8 @@
     virtual void finish(std::shared_ptr<void> attachment = {}) = 0;
 
     /**
-     * Closes the connection without ending the response, so that the caller sees that it is incomplete. What was written
-     * is still sent, unless that is much.
+     * Closes the connection without ending the response, so that the caller sees that it is incomplete. What was
+     * written is still sent, unless that is much.
      */
     virtual void abort() = 0;
 
