--- a/tests/auto/platformadapter/tst_upstreamdecoder.cpp
+++ b/tests/auto/platformadapter/tst_upstreamdecoder.cpp
@@ -91,3 +91,14 @@
         RC_ASSERT(!entry || entry->slots >= 1);
     }));
 }
+
+// Such an id ended gateways when it was written as JSON, or changed the head of the requests to its address.
+TEST(UpstreamDecoderTest, rejectsEntriesWhoseKeyCannotBeWritten)
+{
+    for (const std::string_view id : { std::string_view(""), std::string_view("w\xf6rker"), std::string_view("i\n1"),
+             std::string_view("i\r\nA: b"), std::string_view("i\0", 2), std::string_view("\xff\xfe"),
+             std::string_view(" i"), std::string_view("i "), std::string_view("i\x7f") })
+        CHECK_FALSE(decodeUpstream(id, testEntry).has_value());
+    for (const std::string_view id : { "i-1", "a b", "w\xc3\xb6rker", "10.0.0.1:80/x" })
+        CHECK_TRUE(decodeUpstream(id, testEntry).has_value());
+}
