Refuse a request behind an unanswered one after that one's answer

What callers saw: a pipelined request that was refused closed the connection at once, with the answer of the request before it, which had been admitted.

Cause: a refusal must not be answered before an earlier request, and the connection was closed instead.

Change: the refusal is sent after the earlier answers.

Evidence: two new tests of HttpServerTest failed on the code before and hold in 3 of 3 runs, and 2 of 2 with the address sanitizer; the crowds of complete, pipelined and mixed requests hold once more. x86-64.

--- a/src/libs/web/connectionacceptor.h
+++ b/src/libs/web/connectionacceptor.h
@@ -14,7 +14,6 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 
 namespace Web {
 
--- a/src/libs/web/connectionreader.cpp
+++ b/src/libs/web/connectionreader.cpp
@@ -171,7 +171,8 @@
 void ConnectionReader::discard(std::size_t bytes, ReadHandler handler)
 {
     this->discardedBytes += bytes;
-    if (this->discardedBytes > lingerBytes || this->deadline <= this->guard->clock.now())
+    const bool isLate = this->deadline && *this->deadline <= this->guard->clock.now();
+    if (this->discardedBytes > lingerBytes || isLate)
         this->complete(std::move(handler), asio::error::eof, 0);
     else
         this->readMore(std::move(handler));
@@ -187,9 +188,13 @@
 {
     asio::dispatch(this->executor, [weak = this->weak_from_this()] {
         const auto self = weak.lock();
-        if (!self || !self->socket || self->isEnding)
+        if (!self || !self->socket)
             return;
         self->unanswered -= std::min<std::size_t>(self->unanswered, 1);
+        if (self->isEnding) {
+            self->respondToRefused();
+            return;
+        }
         self->idleSince = self->guard->clock.now();
         self->updateDeadline();
     });
@@ -243,12 +248,17 @@
     this->reportIdle();
     this->request.clear();
     this->guard->refusals.add(refusal, this->guard->memory->heldBytes());
-    // A response must not come before those to earlier requests on the connection.
-    if (this->unanswered > 0) {
-        this->endAfter({});
+    this->deadline.reset();
+    this->unansweredRefusal = refusal;
+    this->respondToRefused();
+}
+
+void ConnectionReader::respondToRefused()
+{
+    // The response must not come before those to earlier requests on the connection.
+    if (!this->unansweredRefusal || this->unanswered > 0)
         return;
-    }
-    const std::string_view response = refusalResponse(refusal);
+    const std::string_view response = refusalResponse(*std::exchange(this->unansweredRefusal, std::nullopt));
     asio::async_write(*this->socket, asio::buffer(response.data(), response.size()),
         asio::bind_executor(this->executor, [self = this->shared_from_this()](const asio::error_code&, std::size_t) {
             asio::error_code ignored;
--- a/src/libs/web/connectionreader.h
+++ b/src/libs/web/connectionreader.h
@@ -62,6 +62,8 @@
     void complete(ReadHandler handler, const asio::error_code& error, std::size_t bytes);
     void discard(std::size_t bytes, ReadHandler handler);
     void refuse(ClientRefusal refusal);
+    /** Responds to a refused request once the earlier ones on the connection have been answered. */
+    void respondToRefused();
     void endAfter(Foundation::Duration delay);
     void cancelRead();
     void updateDeadline();
@@ -98,6 +100,8 @@
     /** The number of bytes of the body when the deadline was set. */
     std::size_t progressMark = 0;
     bool isReportedIdle = false;
+    /** Why the last request was refused, until the response to it is sent. */
+    std::optional<ClientRefusal> unansweredRefusal;
     bool isEnding = false;
     std::size_t discardedBytes = 0;
 };
--- a/tests/auto/web/tst_httpserver.cpp
+++ b/tests/auto/web/tst_httpserver.cpp
@@ -157,3 +157,28 @@
     this->send(head + "\r\n", 1);
     CHECK_EQUAL(fields, this->exchanges[0]->request().headers.size());
 }
+
+// The connection was closed at once, and the request before the refused one lost its answer.
+TEST(HttpServerTest, aRequestBehindAnUnansweredOneIsRefusedAfterTheAnswer)
+{
+    this->send(std::string(request) + "PUT / HTTP/1.1\r\nContent-Length: 1000001\r\n\r\n", 1);
+    bool isClosed = false;
+    asio::async_read(this->caller, asio::dynamic_buffer(this->received),
+        [&](const asio::error_code& error, std::size_t) { isClosed = error == asio::error::eof; });
+    this->context.run_for(std::chrono::milliseconds(50));
+    CHECK_FALSE(isClosed);
+    this->exchanges[0]->respond({ 200, "text/plain", {}, "answer" });
+    CHECK_TRUE(this->runUntil([&] { return isClosed; }));
+    STRCMP_CONTAINS("answerHTTP/1.1 413 ", this->received.c_str());
+}
+
+TEST(HttpServerTest, theCallerOfAnUnansweredRequestBeforeARefusedOneIsSeenToLeave)
+{
+    this->send(std::string(request) + "PUT / HTTP/1.1\r\nContent-Length: 1000001\r\n\r\n", 1);
+    bool hasLeft = false;
+    this->exchanges[0]->setDisconnectHandler([&] { hasLeft = true; });
+    this->context.run_for(std::chrono::milliseconds(50));
+    CHECK_FALSE(hasLeft);
+    this->caller.close();
+    CHECK_TRUE(this->runUntil([&] { return hasLeft; }));
+}
