Report an address that cannot be listened on instead of throwing

What operators saw: nothing yet; since a malformed listen address ended a process by an uncaught exception instead of the message of start().

Cause: the address was parsed in the constructor of HttpServer.

Change: start() parses it, where failures are reported.

--- a/src/libs/web/httpserver.cpp
+++ b/src/libs/web/httpserver.cpp
@@ -383,7 +383,8 @@
 
 struct HttpServer::State {
     asio::io_context& context;
-    asio::ip::tcp::endpoint endpoint;
+    std::string address;
+    std::uint16_t port = 0;
     std::shared_ptr<ConnectionAcceptor> acceptor;
 };
 
@@ -392,8 +393,7 @@
  * An HTTP server based on RESTinio. Only this file instantiates RESTinio's templates.
  */
 HttpServer::HttpServer(asio::io_context& context, const HttpServerSettings& settings, HttpHandler handler)
-    : state(std::make_unique<State>(
-        State { context, { asio::ip::make_address(settings.address), settings.port }, nullptr }))
+    : state(std::make_unique<State>(State { context, settings.address, settings.port, nullptr }))
 {
     const auto registry = std::make_shared<ExchangeRegistry>();
     const auto readers = std::make_shared<ConnectionReaders>();
@@ -427,9 +427,10 @@
 void HttpServer::start(std::function<void(std::string)> onFailure)
 {
     asio::post(this->state->context,
-        [acceptor = this->state->acceptor, endpoint = this->state->endpoint, onFailure = std::move(onFailure)] {
+        [acceptor = this->state->acceptor, address = this->state->address, port = this->state->port,
+            onFailure = std::move(onFailure)] {
             try {
-                acceptor->open(endpoint);
+                acceptor->open({ asio::ip::make_address(address), port });
             } catch (const std::exception& exception) {
                 onFailure(exception.what());
             }
--- a/tests/auto/web/tst_httpserver.cpp
+++ b/tests/auto/web/tst_httpserver.cpp
@@ -182,3 +182,14 @@
     this->caller.close();
     CHECK_TRUE(this->runUntil([&] { return hasLeft; }));
 }
+
+TEST(HttpServerTest, aServerThatCannotListenTellsWhy)
+{
+    int failures = 0;
+    const auto fail = [&failures](const std::string& message) { failures += message.empty() ? 0 : 1; };
+    Web::HttpServer misaddressed { this->context, { "nonsense", this->port, 1'000 }, {} };
+    misaddressed.start(fail);
+    Web::HttpServer second { this->context, { "127.0.0.1", this->port, 1'000 }, {} };
+    second.start(fail);
+    CHECK_TRUE(this->runUntil([&] { return failures == 2; }));
+}
