--- a/tests/auto/gateway/tst_malformedanswers.cpp
+++ b/tests/auto/gateway/tst_malformedanswers.cpp
@@ -19,6 +19,8 @@
     /** How long after the answer the connection is reset, with the rest of the request unread; not at all if empty. */
     std::optional<std::chrono::milliseconds> resetDelay;
     int requestCount = 0;
+    /** The requests that continue a stream. */
+    int resumedCount = 0;
 
     explicit RawUpstream(asio::io_context& context)
         : context(context)
@@ -51,6 +53,7 @@
                 if (error)
                     return;
                 ++this->requestCount;
+                this->resumedCount += request->find("Last-Event-Id: ") == std::string::npos ? 0 : 1;
                 const std::size_t begin = request->find("X-Attempt-Id: ");
                 const std::string id = request->substr(begin, request->find("\r\n", begin) - begin);
                 const auto answer = std::make_shared<std::string>(this->statusLine + "\r\nX-Response-Signature: s\r\n"
@@ -210,3 +213,22 @@
     }
     CHECK_TRUE(this->raw.requestCount > 0);
 }
+
+TEST(MalformedAnswersTest, aResumedStreamThatIsResetDuringItsUploadDoesNotLookComplete)
+{
+    this->raw.fields = "Content-Type: text/event-stream\r\n";
+    this->raw.body = "id: 3\ndata: x\n\n";
+    this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::CloseMidStream;
+    this->startGateway("llm");
+    this->store.put("keyed.servers", "raw", this->raw.entry("llm"));
+    this->store.removeKey("keyed.servers", "two");
+    this->runFor(800ms);
+    for (int i = 0; i < 12; ++i) {
+        this->raw.resetDelay = std::chrono::milliseconds(i % 3 * 10);
+        const Answer answer = this->upload("/stream/" + std::to_string(i));
+        // The stream is complete only if the sound upstream has sent its end.
+        CHECK_TRUE(!answer.result.isSuccess() || answer.body.ends_with("data: e5\n\n"));
+        this->runFor(300ms);
+    }
+    CHECK_TRUE(this->raw.resumedCount > 0);
+}
