--- a/review/lesser-3/homes-of-both/run.sh
+++ b/review/lesser-3/homes-of-both/run.sh
@@ -3,7 +3,7 @@
 # it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 set -uo pipefail
 folder=$(cd "$(dirname "$0")" && pwd)
-cd "$folder/../.." || exit 2
+cd "$folder/../../.." || exit 2
 [ -x target/bin/bluebell-gateway ] && [ -x target/review-3/homes-of-both ] || exit 2
 timeout --kill-after=5 110 target/review-3/homes-of-both "$folder/record.txt"
 code=$?
