--- a/review/standins-4/cut-extra-answer.cpp
+++ b/review/standins-4/cut-extra-answer.cpp
@@ -22,7 +22,8 @@
         const std::string id = request.header("x-attempt-id");
         if (hasTrouble()) {
             channel.send(beginningOfCopy);
-            record.add("worker i-1a000001 sends the beginning of a second copy of its first answer, before its answer to "
+            record.add(
+                "worker i-1a000001 sends the beginning of a second copy of its first answer, before its answer to "
                 + id);
         }
         channel.send(Worker::makeAnswer("500 Internal Server Error", request, "failed"));
@@ -48,14 +49,14 @@
         const bool hasFailed = runs.size() == runsBefore + 1 && answer && answer->body != "done";
         const bool isSuccess = answer && answer->secondWord() == "200";
         if (hasFailed && isSuccess)
-            record.add("the client got a success with signature " + answer->header("x-response-signature") + " and body \""
-                + answer->body + "\" for " + id + ", which the worker answered with 500");
+            record.add("the client got a success with signature " + answer->header("x-response-signature")
+                + " and body \"" + answer->body + "\" for " + id + ", which the worker answered with 500");
         falseSuccesses += hasFailed && isSuccess ? 1 : 0;
         failures += isSuccess ? 0 : 1;
         std::this_thread::sleep_for(200ms);
     }
-    record.add("successes that were failures: " + std::to_string(falseSuccesses) + "; failures told as such: "
-        + std::to_string(failures));
+    record.add("successes that were failures: " + std::to_string(falseSuccesses)
+        + "; failures told as such: " + std::to_string(failures));
     if (falseSuccesses == 0 && failures == 0)
         return couldNotRun;
     return falseSuccesses > 0 ? ruleBroken : ruleHeld;
--- a/review/standins-4/homes-of-both.cpp
+++ b/review/standins-4/homes-of-both.cpp
@@ -22,16 +22,14 @@
     store.put("keyed.op", "config", makeManifest(1, routes, makeTenants("hcmc")));
     store.put("keyed.servers", north.name(), north.entry(1));
     store.put("keyed.servers", south.name(), south.entry(1));
-    const Gateway gateway(
-        record, store, Machine { .zones = R"({"hcmc-a":"hcmc","sgn-a":"sgn"})" });
+    const Gateway gateway(record, store, Machine { .zones = R"({"hcmc-a":"hcmc","sgn-a":"sgn"})" });
     if (!gateway.waitUntilReady())
         return couldNotRun;
     const auto send = [&](int i) {
         const auto channel = gateway.connect();
         const std::string id = "a" + std::to_string(i);
         if (channel)
-            call(record, *channel, id,
-                makeRequest("POST", "/book/slot", id, "Authorization: Token k1\r\n", "slot=4"));
+            call(record, *channel, id, makeRequest("POST", "/book/slot", id, "Authorization: Token k1\r\n", "slot=4"));
     };
     send(0);
     if (north.runs().size() != 1)
@@ -47,7 +45,8 @@
         send(i);
     const std::size_t inNorth = north.runs().size() - northBefore;
     const std::size_t inSouth = south.runs().size() - southBefore;
-    record.add("runs after the change: " + std::to_string(inNorth) + " in hcmc, " + std::to_string(inSouth) + " in sgn");
+    record.add(
+        "runs after the change: " + std::to_string(inNorth) + " in hcmc, " + std::to_string(inSouth) + " in sgn");
     // Of the route's homes and the tenant's, no region is in both.
     const std::size_t outside = hasTrouble() ? inNorth + inSouth : inSouth;
     return outside > 0 ? ruleBroken : ruleHeld;
--- a/review/standins-4/path-bytes.cpp
+++ b/review/standins-4/path-bytes.cpp
@@ -15,7 +15,9 @@
         return couldNotRun;
     // "lịch" and "chụp" in UTF-8; without trouble the client encodes them itself.
     const std::vector<std::string> targets = hasTrouble()
-        ? std::vector<std::string> { "/book/l\xe1\xbb\x8b" "ch", "/book/slots?name=ch\xe1\xbb\xa5p" }
+        ? std::vector<std::string> { "/book/l\xe1\xbb\x8b"
+                                     "ch",
+              "/book/slots?name=ch\xe1\xbb\xa5p" }
         : std::vector<std::string> { "/book/l%E1%BB%8Bch", "/book/slots?name=ch%E1%BB%A5p" };
     int changed = 0;
     int unchanged = 0;
@@ -37,7 +39,7 @@
         record.add(id + (isChanged ? ": changed: " : ": as sent: ") + "sent " + targets[i] + ", run " + seen);
         ++(isChanged ? changed : unchanged);
     }
-    record.add("runs with a changed path or query: " + std::to_string(changed) + ", unchanged: "
-        + std::to_string(unchanged) + ", not run: " + std::to_string(refused));
+    record.add("runs with a changed path or query: " + std::to_string(changed)
+        + ", unchanged: " + std::to_string(unchanged) + ", not run: " + std::to_string(refused));
     return changed > 0 ? ruleBroken : ruleHeld;
 }
--- a/review/standins-4/stale-limits.cpp
+++ b/review/standins-4/stale-limits.cpp
@@ -20,8 +20,8 @@
     const std::vector<std::string> routes { makeRoute("book", "unsafe") };
     const auto publish = [&](int version, int limit) {
         store.put("keyed.op", "config", makeManifest(version, routes, {}, limit));
-        record.add("the store acknowledges version " + std::to_string(version) + ": max_body_bytes "
-            + std::to_string(limit));
+        record.add(
+            "the store acknowledges version " + std::to_string(version) + ": max_body_bytes " + std::to_string(limit));
     };
     publish(1, hasTrouble() ? oldLimit : newLimit);
     store.put("keyed.servers", worker.name(), worker.entry(1));
