--- a/review/standins-4/cut-extra-answer.cpp
+++ b/review/standins-4/cut-extra-answer.cpp
@@ -34,13 +34,13 @@
     store.put("keyed.servers", worker.name(), worker.entry(1));
     const Gateway gateway(record, store);
     if (!gateway.waitUntilReady())
-        return couldNotRun;
+        finish(couldNotRun);
     int falseSuccesses = 0;
     int failures = 0;
     for (int i = 0; i < 10; ++i) {
         const auto channel = gateway.connect();
         if (!channel)
-            return couldNotRun;
+            finish(couldNotRun);
         const std::string id = "a" + std::to_string(i);
         const std::size_t runsBefore = worker.runs().size();
         const auto answer = call(record, *channel, id, makeRequest("GET", "/read/slots", id));
@@ -58,6 +58,6 @@
     record.add("successes that were failures: " + std::to_string(falseSuccesses)
         + "; failures told as such: " + std::to_string(failures));
     if (falseSuccesses == 0 && failures == 0)
-        return couldNotRun;
-    return falseSuccesses > 0 ? ruleBroken : ruleHeld;
+        finish(couldNotRun);
+    finish(falseSuccesses > 0 ? ruleBroken : ruleHeld);
 }
--- a/review/standins-4/homes-of-both.cpp
+++ b/review/standins-4/homes-of-both.cpp
@@ -24,7 +24,7 @@
     store.put("keyed.servers", south.name(), south.entry(1));
     const Gateway gateway(record, store, Machine { .zones = R"({"hcmc-a":"hcmc","sgn-a":"sgn"})" });
     if (!gateway.waitUntilReady())
-        return couldNotRun;
+        finish(couldNotRun);
     const auto send = [&](int i) {
         const auto channel = gateway.connect();
         const std::string id = "a" + std::to_string(i);
@@ -33,7 +33,7 @@
     };
     send(0);
     if (north.runs().size() != 1)
-        return couldNotRun;
+        finish(couldNotRun);
     const std::string newHome = hasTrouble() ? "sgn" : "hcmc";
     store.put("keyed.op", "config", makeManifest(2, routes, makeTenants(newHome)));
     record.add("the store acknowledges version 2: homes of the route: hcmc; homes of the tenant: " + newHome);
@@ -49,5 +49,5 @@
         "runs after the change: " + std::to_string(inNorth) + " in hcmc, " + std::to_string(inSouth) + " in sgn");
     // Of the route's homes and the tenant's, no region is in both.
     const std::size_t outside = hasTrouble() ? inNorth + inSouth : inSouth;
-    return outside > 0 ? ruleBroken : ruleHeld;
+    finish(outside > 0 ? ruleBroken : ruleHeld);
 }
--- a/review/standins-4/lab.h
+++ b/review/standins-4/lab.h
@@ -564,15 +564,26 @@
                "\"retry_budget_slack\":102,\"cold_overrun\":1.5,\"cold_slack\":5},\"platform\":{\"address\":\""
             << store.address() << "\"}}}\n";
         this->start();
+        all().push_back(this);
     }
 
-    ~Gateway()
+    ~Gateway() { this->end(); }
+
+    /** Kills the process and removes its folder. */
+    void end()
     {
         kill(this->process, SIGKILL);
         waitpid(this->process, nullptr, 0);
         std::filesystem::remove_all(this->folder);
     }
 
+    /** The gateways of this program. */
+    static std::vector<Gateway*>& all()
+    {
+        static std::vector<Gateway*> gateways;
+        return gateways;
+    }
+
     Gateway(const Gateway&) = delete;
     Gateway& operator=(const Gateway&) = delete;
 
@@ -672,4 +683,12 @@
     return answer;
 }
 
+/** Ends the gateways and this program at once: threads still use the stand-ins, so these must not be destroyed. */
+[[noreturn]] inline void finish(int code)
+{
+    for (Gateway* const gateway : Gateway::all())
+        gateway->end();
+    std::_Exit(code);
+}
+
 } // namespace Lab
--- a/review/standins-4/late-heartbeat.cpp
+++ b/review/standins-4/late-heartbeat.cpp
@@ -22,11 +22,11 @@
     store.put("keyed.servers", staying.name(), staying.entry(1));
     const Gateway gateway(record, store);
     if (!gateway.waitUntilReady())
-        return couldNotRun;
+        finish(couldNotRun);
     std::this_thread::sleep_for(4s);
     const auto channel = gateway.connect();
     if (!channel)
-        return couldNotRun;
+        finish(couldNotRun);
 
     // Heartbeat 2 is sent now. The store neither answers nor executes it yet, and works as usual from then on.
     const std::string unansweredHeartbeat = leaving.entry(2);
@@ -73,6 +73,6 @@
     record.add("served " + std::to_string(served) + "; runs at the draining worker: " + std::to_string(early)
         + " before drain_ms had passed, " + std::to_string(late) + " later");
     if (served == 0)
-        return couldNotRun;
-    return late > 0 ? ruleBroken : ruleHeld;
+        finish(couldNotRun);
+    finish(late > 0 ? ruleBroken : ruleHeld);
 }
--- a/review/standins-4/lost-removal.cpp
+++ b/review/standins-4/lost-removal.cpp
@@ -27,7 +27,7 @@
     Gateway other(record, store,
         Machine { .name = "edge-hcmc-a-2", .processorShare = 0.5, .otherSeed = gateway.controlAddress() });
     if (!gateway.waitUntilReady() || !other.waitUntilReady())
-        return couldNotRun;
+        finish(couldNotRun);
     std::atomic<bool> isOver { false };
     std::thread heartbeats([&] {
         for (int sequence = 2; !isOver; ++sequence) {
@@ -39,7 +39,7 @@
 
     const auto channel = gateway.connect();
     if (!channel)
-        return couldNotRun;
+        finish(couldNotRun);
     int brokenRounds = 0;
     int sent = 0;
     int served = 0;
@@ -77,6 +77,6 @@
     record.add("rounds with late runs: " + std::to_string(brokenRounds) + " of " + std::to_string(rounds) + "; served "
         + std::to_string(served) + " of " + std::to_string(sent));
     if (served == 0)
-        return couldNotRun;
-    return brokenRounds > 0 ? ruleBroken : ruleHeld;
+        finish(couldNotRun);
+    finish(brokenRounds > 0 ? ruleBroken : ruleHeld);
 }
--- a/review/standins-4/path-bytes.cpp
+++ b/review/standins-4/path-bytes.cpp
@@ -12,7 +12,7 @@
     store.put("keyed.servers", worker.name(), worker.entry(1));
     const Gateway gateway(record, store);
     if (!gateway.waitUntilReady())
-        return couldNotRun;
+        finish(couldNotRun);
     // "lịch" and "chụp" in UTF-8; without trouble the client encodes them itself.
     const std::vector<std::string> targets = hasTrouble()
         ? std::vector<std::string> { "/book/l\xe1\xbb\x8b"
@@ -25,7 +25,7 @@
     for (std::size_t i = 0; i < targets.size(); ++i) {
         const auto channel = gateway.connect();
         if (!channel)
-            return couldNotRun;
+            finish(couldNotRun);
         const std::string id = "a" + std::to_string(i);
         const std::size_t runsBefore = worker.runs().size();
         call(record, *channel, id, makeRequest("POST", targets[i], id, {}, "slot=4"));
@@ -41,5 +41,5 @@
     }
     record.add("runs with a changed path or query: " + std::to_string(changed)
         + ", unchanged: " + std::to_string(unchanged) + ", not run: " + std::to_string(refused));
-    return changed > 0 ? ruleBroken : ruleHeld;
+    finish(changed > 0 ? ruleBroken : ruleHeld);
 }
--- a/review/standins-4/stale-limits.cpp
+++ b/review/standins-4/stale-limits.cpp
@@ -27,7 +27,7 @@
     store.put("keyed.servers", worker.name(), worker.entry(1));
     const Gateway gateway(record, store);
     if (!gateway.waitUntilReady())
-        return couldNotRun;
+        finish(couldNotRun);
     std::vector<std::unique_ptr<Channel>> channels;
     int sent = 0;
     const auto send = [&](Channel& channel, std::size_t bytes) {
@@ -39,7 +39,7 @@
     for (int i = 0; i < clientCount; ++i) {
         channels.push_back(gateway.connect());
         if (!channels.back() || send(*channels.back(), 100) != "200")
-            return couldNotRun;
+            finish(couldNotRun);
     }
     publish(2, newLimit);
     // The new version has to be in force after 2 s, and the connections may be idle for 20 s.
@@ -62,6 +62,6 @@
         + " served; on new connections: " + std::to_string(servedOnNew) + " served of " + std::to_string(clientCount)
         + "; denials that the rule allows: " + std::to_string(allowed));
     if (servedOnNew == 0)
-        return couldNotRun;
-    return denied > allowed ? ruleBroken : ruleHeld;
+        finish(couldNotRun);
+    finish(denied > allowed ? ruleBroken : ruleHeld);
 }
