Do not pass a listing of a topic on as a range

What callers saw: the entry of an upstream was removed while another gateway of the failure domain started. With an evacuation that was taken back it refused every request.

Cause: a listing has no deletions, but was sent to peers as the range from 0, or from what they asked for. The receiver advanced its end over the deletion.

Change: TopicUpdate says on the wire and in the code whether it is a range or a listing. TopicCache states its invariant, knows from where on it holds all deletions, and is the only one to make and to merge updates. Event 212 says which of the two was merged.

--- a/src/apps/gateway/completionstore.h
+++ b/src/apps/gateway/completionstore.h
@@ -2,7 +2,7 @@
 
 #include <foundation/clock.h>
 #include <quarantine/suspectregistry.h>
-#include <storecache/topiccache.h>
+#include <storecache/keyedrecord.h>
 
 #include "platform/storeclient.h"
 
--- a/src/apps/gateway/partcrashstore.h
+++ b/src/apps/gateway/partcrashstore.h
@@ -4,7 +4,7 @@
 
 #include <foundation/clock.h>
 #include <quarantine/promptpartregistry.h>
-#include <storecache/topiccache.h>
+#include <storecache/keyedrecord.h>
 
 #include <map>
 #include <set>
--- a/src/apps/gateway/storesynchronizer.cpp
+++ b/src/apps/gateway/storesynchronizer.cpp
@@ -16,6 +16,7 @@
 using Foundation::TimePoint;
 using Membership::UpstreamDirectory;
 using StoreCache::KeyedRecord;
+using StoreCache::TopicUpdate;
 
 // The operator's topic changes rarely, so it is read with long polling. A dead connection is detected after this
 // fraction of the time in which a change has to be in force, plus the store's answer timeout.
@@ -265,8 +266,8 @@
             this->isMergingCopy = std::exchange(follower.isCopyUnread, false);
             if (this->isMergingCopy)
                 this->beginSettling(follower);
-            follower.records->mergeListing(
-                std::move(listing.value().records), listing.value().end, listing.value().era);
+            follower.records->merge(
+                TopicUpdate::listing(std::move(listing.value().records), listing.value().end, listing.value().era));
             this->isMergingCopy = false;
             if (&follower == &this->peerFollower)
                 this->startCheck.recordListing(this->era, this->settledEra, !this->peerAddresses.empty());
@@ -298,7 +299,8 @@
                 return;
             }
             this->countUnreadableRecords(follower, range.value().unreadableRecords, range.value().end);
-            follower.records->mergeRange(std::move(range.value().records), range.value().end, range.value().era);
+            follower.records->merge(
+                TopicUpdate::range(from, std::move(range.value().records), range.value().end, range.value().era));
             // An empty result means that the long poll ran to its end, so nothing was written until then.
             if (isWhole)
                 this->onRead(follower, sent, isEmpty ? follower.longPoll : Duration::zero());
--- a/src/apps/gateway/storesynchronizer.h
+++ b/src/apps/gateway/storesynchronizer.h
@@ -64,7 +64,7 @@
     void tick();
 
     /** Merges a reply or an update of another gateway. */
-    void onReply(const Wire::StoreCacheReply& reply);
+    void onReply(Wire::StoreCacheReply reply);
 
     /** Returns the cached records that another gateway asks for. */
     Wire::StoreCacheReply answerQuery(const Wire::StoreCacheQuery& query) const;
--- a/src/apps/gateway/storesynchronizerpeers.cpp
+++ b/src/apps/gateway/storesynchronizerpeers.cpp
@@ -15,6 +15,7 @@
 using Foundation::Event;
 using Foundation::logEvent;
 using Foundation::TimePoint;
+using StoreCache::TopicUpdate;
 
 // Allowance for the network delay between two gateways, added to the age of a peer's state.
 constexpr Duration networkDelayAllowance = std::chrono::milliseconds(20);
@@ -22,6 +23,12 @@
 constexpr Duration peerQueryDelay = std::chrono::milliseconds(900);
 constexpr Duration peerQueryInterval = std::chrono::milliseconds(400);
 
+std::string describe(std::string_view topic, const TopicUpdate& update)
+{
+    return std::string(topic) + (update.isListing() ? "=listing " : "=range ") + std::string(topic)
+        + "_end=" + std::to_string(update.end);
+}
+
 } // namespace
 
 void StoreSynchronizer::sendToDomainPeers()
@@ -30,10 +37,11 @@
         = this->answerQuery({ this->operatorEndPublished, this->upstreamRecords.end(), this->era });
     if (!update.hasCachedState)
         return;
-    update.upstreamRecords = std::exchange(this->upstreamChanges, {});
-    update.upstreamFrom = this->upstreamEndPublished;
-    this->operatorEndPublished = update.operatorEnd;
-    this->upstreamEndPublished = update.upstreamEnd;
+    update.upstreamUpdate = this->upstreamRecords.updateFrom(this->upstreamEndPublished, this->upstreamChanges);
+    // A listing also has records after its end, which the next range must contain.
+    std::erase_if(this->upstreamChanges, [&](const auto& change) { return change.offset < update.upstreamUpdate.end; });
+    this->operatorEndPublished = update.operatorUpdate.end;
+    this->upstreamEndPublished = update.upstreamUpdate.end;
     update.suspects = this->takeUnpublished(this->suspectFollower);
     update.peers = this->takeUnpublished(this->peerFollower);
     this->handlers.sendToDomainPeers(update);
@@ -44,22 +52,20 @@
     if (!follower.isListed || follower.isCopyUnread)
         return {};
     const std::uint64_t from = std::exchange(follower.publishedEnd, follower.records->end());
-    Wire::StoreCacheReply::TopicPart part { {}, from, follower.records->end(), ageMs(follower, this->clock.now()) + 1 };
-    if (part.end > from)
-        part.records = follower.records->recordsFrom(from);
-    return part;
+    return { follower.records->updateFrom(from), ageMs(follower, this->clock.now()) + 1 };
 }
 
 void StoreSynchronizer::applyPart(
     Follower& follower, Wire::StoreCacheReply::TopicPart part, std::uint64_t partEra, TimePoint sent)
 {
+    part.update.era = partEra;
     const std::int64_t longestAgeMs
         = Foundation::toMilliseconds(follower.longPoll + follower.pollInterval + passOnTimeout);
     const bool isUsable = part.ageMs > 0 && part.ageMs <= longestAgeMs && follower.isListed && !follower.isCopyUnread
-        && part.from <= follower.records->end();
+        && !follower.records->hasGapBefore(part.update);
     if (!isUsable)
         return;
-    follower.records->mergeRange(std::move(part.records), part.end, partEra);
+    follower.records->merge(std::move(part.update));
     follower.publishedEnd = std::max(follower.publishedEnd, follower.records->end());
     follower.lastPassedOn = std::max(follower.lastPassedOn, sent);
     recordCurrent(follower, sent - std::chrono::milliseconds(part.ageMs));
@@ -126,12 +132,13 @@
     return reply.querySentMs > 0 && querySent <= now ? querySent : sent;
 }
 
-void StoreSynchronizer::onReply(const Wire::StoreCacheReply& reply)
+void StoreSynchronizer::onReply(Wire::StoreCacheReply reply)
 {
     const std::optional<TimePoint> sendTime = this->sendTimeOf(reply);
     if (!reply.hasCachedState || reply.era < this->era)
         return;
     this->beginEra(reply.era);
+    reply.operatorUpdate.era = reply.upstreamUpdate.era = reply.era;
     this->peerPolicyVersion = std::max(this->peerPolicyVersion, reply.policyVersion);
     if (reply.isSettled)
         this->startCheck.recordSettled();
@@ -141,7 +148,8 @@
     this->applyPeerOutage(reply, sent);
     // This gateway missed an update if it was not connected at the time. Merging a later one would mark the missed
     // records as read, so the whole range is queried instead.
-    if (reply.operatorFrom > endBefore || reply.upstreamFrom > this->upstreamRecords.end()) {
+    if (this->operatorRecords.hasGapBefore(reply.operatorUpdate)
+        || this->upstreamRecords.hasGapBefore(reply.upstreamUpdate)) {
         this->nextQuery = now + peerQueryInterval;
         this->handlers.queryPeer(this->makeQuery());
         return;
@@ -151,12 +159,17 @@
         if (std::exchange(follower->isCopyUnread, false))
             this->beginSettling(*follower);
     }
-    this->operatorRecords.mergeRange(reply.operatorRecords, reply.operatorEnd, reply.era);
+    const bool hasNewListing
+        = reply.upstreamUpdate.isListing() && reply.upstreamUpdate.end > this->upstreamRecords.end();
+    this->operatorRecords.merge(reply.operatorUpdate);
     // The sender publishes these records to all domain peers, so they are not published again from here.
-    const std::size_t ownChangeCount = this->upstreamChanges.size();
-    this->upstreamRecords.mergeRange(reply.upstreamRecords, reply.upstreamEnd, reply.era);
+    std::vector<StoreCache::KeyedRecord> ownChanges = std::exchange(this->upstreamChanges, {});
+    this->upstreamRecords.merge(reply.upstreamUpdate);
     this->isMergingCopy = false;
-    this->upstreamChanges.resize(ownChangeCount);
+    std::erase_if(
+        this->upstreamChanges, [this](const auto& change) { return change.offset < this->upstreamRecords.end(); });
+    ownChanges.insert(ownChanges.end(), this->upstreamChanges.begin(), this->upstreamChanges.end());
+    this->upstreamChanges = std::move(ownChanges);
     this->upstreamEndPublished = this->upstreamRecords.end();
     const auto recordAge = [&](Follower& follower, std::int64_t peerAgeMs) {
         follower.isListed = true;
@@ -171,9 +184,10 @@
         this->freshness.recordCurrentAsOf(
             *sendTime - networkDelayAllowance - std::chrono::milliseconds(reply.operatorAgeMs));
     this->metrics.counter("bluebell_knowledge_from_peers_total").fetch_add(1);
-    if (reply.operatorEnd > endBefore)
+    if (hasNewListing || this->operatorRecords.end() > endBefore)
         logEvent(Event::KnowledgeFromPeer, "",
-            "operator_end=" + std::to_string(reply.operatorEnd) + " age_ms=" + std::to_string(reply.operatorAgeMs));
+            describe("operator", reply.operatorUpdate) + " " + describe("upstreams", reply.upstreamUpdate)
+                + " age_ms=" + std::to_string(reply.operatorAgeMs));
     this->tick();
 }
 
@@ -184,19 +198,16 @@
     reply.hasCachedState = age && this->operatorFollower.isListed && this->upstreamFollower.isListed;
     if (!reply.hasCachedState)
         return reply;
-    // Offsets of another era say nothing here, so the sender gets all records.
     reply.sender = this->incarnation;
     reply.sentMs = Foundation::toMilliseconds(this->bootClock.now().time_since_epoch());
     reply.querySentMs = query.sentMs;
     reply.era = this->era;
     reply.isSettled = !this->isPossiblyOldCopy();
     reply.policyVersion = this->policy() ? this->policy()->version() : 0;
-    reply.operatorFrom = query.era == this->era ? query.operatorEnd : 0;
-    reply.upstreamFrom = query.era == this->era ? query.upstreamEnd : 0;
-    reply.operatorRecords = this->operatorRecords.recordsFrom(reply.operatorFrom);
-    reply.upstreamRecords = this->upstreamRecords.recordsFrom(reply.upstreamFrom);
-    reply.operatorEnd = this->operatorRecords.end();
-    reply.upstreamEnd = this->upstreamRecords.end();
+    // Offsets of another era say nothing here, so the sender gets all records.
+    const bool isSameEra = query.era == this->era;
+    reply.operatorUpdate = this->operatorRecords.updateFrom(isSameEra ? query.operatorEnd : 0);
+    reply.upstreamUpdate = this->upstreamRecords.updateFrom(isSameEra ? query.upstreamEnd : 0);
     reply.operatorAgeMs = Foundation::toMilliseconds(*age) + 1;
     reply.upstreamAgeMs = ageMs(this->upstreamFollower, this->clock.now()) + 1;
     const Duration grace = this->upstreamDirectory.graceEnd() - this->clock.now();
--- a/src/libs/storecache/topiccache.h
+++ b/src/libs/storecache/topiccache.h
@@ -1,32 +1,30 @@
 #pragma once
 
+#include "topicupdate.h"
+
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <optional>
-#include <span>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace StoreCache {
 
-/** The newest record of a key in a keyed topic of the store. */
-struct KeyedRecord {
-    std::string key;
-    /** Empty if the key was deleted. */
-    std::optional<std::string> value;
-    std::uint64_t offset = 0;
-    /** Rises when the store comes back from an older copy and gives out offsets again; 0 if the store names none. */
-    std::uint64_t era = 0;
-
-    bool operator==(const KeyedRecord&) const = default;
-};
-
 /**
  * Caches the newest record of each key of one topic, merged from any number of sources. Records are ordered by era and
  * then by their offset in the store, so sources can be merged in any order and an older record never replaces a newer
  * one.
+ *
+ * Invariant for each key, once an update of the current era was merged. Let R be the newest record of the key in the
+ * store that has an offset below end():
+ * - If R has a value, the cache holds R or a later record.
+ * - If R is a deletion, the cache holds no value but one that was written after R.
+ * - If R is a deletion with an offset of at least historyStart(), the cache holds R or a later record.
+ *
+ * Deletions before historyStart() may be unknown, so what begins there is passed on as a listing. Records leave the
+ * cache for others through updateFrom() only, and enter it through merge() only, which keeps the invariant.
  */
 class TopicCache {
 public:
@@ -35,42 +33,44 @@
 
     explicit TopicCache(ChangeHandler onChange);
 
-    /**
-     * Merges one record.
-     * @return whether it replaced the cached record of its key.
-     */
-    bool merge(KeyedRecord record);
-
     /** Begins a later era, whose records have not been read yet: end() is 0. Ignores the current and earlier eras. */
     void beginEra(std::uint64_t newEra);
 
     std::uint64_t era() const { return this->currentEra; }
 
     /**
-     * Merges a contiguous range of the topic and advances end().
-     * @param range the records; must start at end() or before, without a gap.
-     * @param end the offset after the range.
-     * @param rangeEra the era in which the range was read; a range of another one than era() is ignored.
+     * Merges what the store or another cache has told, and advances end(). Ignores an update of another era than era()
+     * and a range that begins after end().
+     *
+     * A listing that ends after end() deletes cached keys that it lacks, unless their record was written after the
+     * listing began.
+     * @return whether end() is now at least the end of the update.
      */
-    void mergeRange(std::vector<KeyedRecord> range, std::uint64_t end, std::uint64_t rangeEra = 0);
+    bool merge(TopicUpdate update);
 
-    /**
-     * Merges a listing of the whole topic. Deletes cached keys that the listing lacks, unless their record was written
-     * after the listing began.
-     * @param listing the newest record of each key.
-     * @param end the end offset of the topic when the listing began.
-     * @param listingEra the era in which the listing was read; a listing of another one than era() is ignored.
-     */
-    void mergeListing(std::vector<KeyedRecord> listing, std::uint64_t end, std::uint64_t listingEra = 0);
+    /** @return whether merge() would leave a gap before the update. */
+    bool hasGapBefore(const TopicUpdate& update) const
+    {
+        return update.era == this->currentEra && !update.isListing() && update.from > this->mergedEnd;
+    }
 
     /** @return the offset up to which all records of the topic have been merged. */
     std::uint64_t end() const { return this->mergedEnd; }
 
+    /** @return the offset from which on all deletions are known. */
+    std::uint64_t historyStart() const { return this->deletionsKnownFrom; }
+
     /**
-     * @return the cached records of the current era with an offset of at least the given one, including deleted keys;
-     *         those of all eras for offset 0.
+     * @return what another cache lacks whose end is the given offset of the current era: a range from there, or a
+     *         listing if deletions may be missing in the range.
      */
-    std::vector<KeyedRecord> recordsFrom(std::uint64_t offset) const;
+    TopicUpdate updateFrom(std::uint64_t offset) const;
+
+    /**
+     * The same for caches that have merged all updates of this process up to the offset.
+     * @param changes what a range has to contain. Leaves out records that change nothing for the receivers.
+     */
+    TopicUpdate updateFrom(std::uint64_t offset, std::vector<KeyedRecord> changes) const;
 
     /** @return the newest record of a key; null if the key is unknown or deleted. */
     const KeyedRecord* find(std::string_view key) const;
@@ -79,10 +79,22 @@
     const std::map<std::string, KeyedRecord, std::less<>>& all() const { return this->records; }
 
 private:
+    void mergeRecord(KeyedRecord record);
+    /** Removes the records whose keys may have been deleted since, although the cache lacks the deletion. */
+    void removeUnmergeable(TopicUpdate& update) const;
+    /** Deletes the keys that a newer listing lacks, and continues from its end. */
+    void beginHistory(const std::set<std::string, std::less<>>& listedKeys, std::uint64_t end);
+    std::vector<KeyedRecord> recordsFrom(std::uint64_t offset) const;
+    /** @return a listing of the whole cache. */
+    TopicUpdate listAll() const;
+
     ChangeHandler onChange;
     std::map<std::string, KeyedRecord, std::less<>> records;
     std::uint64_t currentEra = 0;
     std::uint64_t mergedEnd = 0;
+    std::uint64_t deletionsKnownFrom = 0;
+    /** Whether the cache has merged a listing of the current era. */
+    bool isListed = false;
 };
 
 } // namespace StoreCache
--- a/src/libs/wire/messages.h
+++ b/src/libs/wire/messages.h
@@ -6,7 +6,7 @@
 #include <placement/upstreamusage.h>
 #include <quarantine/crashnotice.h>
 #include <ratelimit/upstreamlimits.h>
-#include <storecache/topiccache.h>
+#include <storecache/topicupdate.h>
 
 #include <cstdint>
 #include <string>
@@ -277,24 +277,13 @@
 struct StoreCacheReply {
     /** What a gateway has read of a topic that the gateways of its failure domain then need not read. */
     struct TopicPart {
-        std::vector<StoreCache::KeyedRecord> records;
-        /** The records are complete from this offset to the end. */
-        std::uint64_t from = 0;
-        std::uint64_t end = 0;
+        StoreCache::TopicUpdate update;
         /** The age of the sender's cache of the topic, in ms, rounded up; 0 if the part is missing. */
         std::int64_t ageMs = 0;
     };
 
-    std::vector<StoreCache::KeyedRecord> operatorRecords;
-    std::vector<StoreCache::KeyedRecord> upstreamRecords;
-    /**
-     * The records are complete from these offsets to the ends below. A receiver whose cache ends at a smaller offset
-     * has missed records.
-     */
-    std::uint64_t operatorFrom = 0;
-    std::uint64_t upstreamFrom = 0;
-    std::uint64_t operatorEnd = 0;
-    std::uint64_t upstreamEnd = 0;
+    StoreCache::TopicUpdate operatorUpdate;
+    StoreCache::TopicUpdate upstreamUpdate;
     /** Whether the sender has cached both topics. If not, the message contains nothing else. */
     bool hasCachedState = false;
     /** The ages of the two cached topics, in ms, rounded up. */
@@ -306,7 +295,7 @@
     std::int64_t upstreamCurrentForMs = 0;
     /** The time since the start of the last such gap, in ms; 0 if there was none. */
     std::int64_t upstreamAwayMs = 0;
-    /** The era of the store to which the offsets belong; single records may be of earlier ones. */
+    /** The era of all updates in the message. */
     std::uint64_t era = 0;
     /** Whether the writers had time to write again what the store lost when the era began. */
     bool isSettled = false;
--- a/tests/standins/standinstore.h
+++ b/tests/standins/standinstore.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <storecache/topiccache.h>
+#include <storecache/keyedrecord.h>
 #include <web/httpserver.h>
 
 #include <asio/steady_timer.hpp>
