Order the entries of upstreams by what the upstreams write

Cause: the store may execute a write seconds after it was sent, when it has executed newer ones.

Change: Membership::EntryOrder decides by generation and sequence, also after the removal of an entry and in a grace period. The removal has no sequence, so an entry after it counts when a later one follows, or after 5 s. A restarted upstream is taken back at once. Late entries are logged and counted.

Tests that were changed, none of them to ask less: - Stand-ins and fixtures wrote the same sequence again and again, which no upstream does. It rises now. - Three tests of retries used an entry that came back after its removal as another upstream that appears. It is restarted now, which is at once. - Two tests took an ended upstream back with one entry, which may be a late one. They now check that one entry is not enough and that two are.

--- a/src/apps/gateway/storesynchronizer.cpp
+++ b/src/apps/gateway/storesynchronizer.cpp
@@ -154,7 +154,8 @@
             this->read(*follower);
     }
     this->queryPeerIfDue();
-    this->upstreamDirectory.expire(now);
+    if (this->upstreamDirectory.expire(now))
+        this->hasChanged = true;
     if (this->isEvacuationUpdatePending && !this->isSettling())
         this->updateEvacuated();
     const bool isStale = this->policy() && !this->canAcceptKeys();
--- a/src/apps/gateway/storesynchronizer.h
+++ b/src/apps/gateway/storesynchronizer.h
@@ -180,6 +180,8 @@
 
     void onOperatorRecord(const StoreCache::KeyedRecord& record);
     void onUpstreamRecord(const StoreCache::KeyedRecord& record);
+    /** Handles an entry that the store executed after a newer one of the same upstream. */
+    void ignoreLateEntry(const StoreCache::KeyedRecord& record, const Membership::UpstreamEntry& entry);
     void onPeerRecord(const StoreCache::KeyedRecord& record);
     void applyPolicy(const StoreCache::KeyedRecord& record);
     void updateEvacuated();
--- a/src/apps/gateway/storesynchronizerrecords.cpp
+++ b/src/apps/gateway/storesynchronizerrecords.cpp
@@ -108,9 +108,15 @@
 {
     const TimePoint now = this->clock.now();
     const auto entry = record.value ? PlatformAdapter::decodeUpstream(record.key, *record.value) : std::nullopt;
+    if (entry && this->upstreamDirectory.isLate(*entry)) {
+        this->ignoreLateEntry(record, *entry);
+        return;
+    }
     const std::uint64_t digest = entry ? Membership::entryDigest(*entry) : 0;
-    if (std::exchange(this->upstreamDigests[record.key], digest) == digest && entry)
+    if (std::exchange(this->upstreamDigests[record.key], digest) == digest && entry) {
+        this->upstreamDirectory.recordHeartbeat(*entry);
         return;
+    }
     this->hasChanged = true;
     this->upstreamChanges.push_back(record);
     if (!record.value) {
@@ -129,7 +135,20 @@
     }
     this->metrics.counter("bluebell_ignored_entries_total").fetch_add(1);
     logEvent(Event::EntryIgnored, "", "key=" + record.key + " offset=" + std::to_string(record.offset));
-    this->upstreamDirectory.remove(record.key, now);
+    this->upstreamDirectory.removeOverwritten(record.key, now);
+}
+
+void StoreSynchronizer::ignoreLateEntry(const KeyedRecord& record, const Membership::UpstreamEntry& entry)
+{
+    // The next heartbeat may look like the entry in force, but a gateway that listed the late one has to be told of it.
+    this->upstreamDigests.erase(record.key);
+    if (this->isMergingCopy)
+        return;
+    this->metrics.counter("bluebell_late_entries_total").fetch_add(1);
+    logEvent(Event::EntryIgnored, "",
+        "key=" + record.key + " offset=" + std::to_string(record.offset)
+            + " reason=late generation=" + Membership::makeGenerationId(entry.id, entry.startedAtMs)
+            + " sequence=" + std::to_string(entry.sequence));
 }
 
 void StoreSynchronizer::onPeerRecord(const KeyedRecord& record)
--- a/src/libs/membership/upstreamdirectory.cpp
+++ b/src/libs/membership/upstreamdirectory.cpp
@@ -10,9 +10,6 @@
 namespace {
 
 constexpr char generationSeparator = '/';
-// Longer than a copy of the list may be old.
-constexpr Foundation::Duration endedGenerationRetention = std::chrono::minutes(5);
-constexpr std::size_t maximumEndedGenerations = 4096;
 // Upstreams leave within seconds or minutes.
 constexpr Foundation::Duration leavingGenerationRetention = std::chrono::hours(1);
 
@@ -46,27 +43,22 @@
 bool UpstreamDirectory::update(const UpstreamEntry& newest, Foundation::TimePoint now)
 {
     const auto found = this->upstreams.find(newest.id);
+    const UpstreamEntry entry = this->withStart(newest);
+    const EntryOrder::Verdict verdict = this->check(entry);
+    if (verdict == EntryOrder::Verdict::Unconfirmed)
+        this->order.keepUnconfirmed(entry, now);
+    if (verdict != EntryOrder::Verdict::Newest)
+        return false;
     if (found == this->upstreams.end()) {
-        Upstream& added = this->upstreams[newest.id];
-        added.setEntry(newest);
-        added.coldUntil = now + newest.coldLeft;
-        this->endedGenerations.erase(added.generationId());
-        this->report(Change::Added, added);
+        this->add(entry, now);
         return true;
     }
     Upstream& listed = found->second;
-    UpstreamEntry entry = newest;
-    // An entry that does not say when the upstream was started does not show a restart.
-    if (entry.startedAtMs == 0)
-        entry.startedAtMs = listed.entry.startedAtMs;
-    if (entry.startedAtMs != listed.entry.startedAtMs && this->isLateEntry(entry))
-        return false;
     const bool isRestart = entry.startedAtMs != listed.entry.startedAtMs;
     const bool startsDraining = entry.isDraining && (isRestart || !listed.entry.isDraining);
-    if (isRestart) {
+    if (isRestart)
         this->recordEnded(listed, now);
-        this->endedGenerations.erase(makeGenerationId(entry.id, entry.startedAtMs));
-    }
+    this->order.recordWritten(entry);
     if (isRestart || entry.address != listed.entry.address)
         listed.isMisaddressed = false;
     listed.setEntry(entry);
@@ -79,15 +71,46 @@
     return true;
 }
 
-bool UpstreamDirectory::isLateEntry(const UpstreamEntry& entry)
+void UpstreamDirectory::add(const UpstreamEntry& entry, Foundation::TimePoint now)
+{
+    Upstream& added = this->upstreams[entry.id];
+    added.setEntry(entry);
+    added.coldUntil = now + entry.coldLeft;
+    this->order.recordWritten(entry);
+    this->report(Change::Added, added);
+}
+
+UpstreamEntry UpstreamDirectory::withStart(UpstreamEntry entry) const
+{
+    const Upstream* const listed = this->find(entry.id);
+    if (listed && entry.startedAtMs == 0)
+        entry.startedAtMs = listed->entry.startedAtMs;
+    return entry;
+}
+
+EntryOrder::Verdict UpstreamDirectory::check(const UpstreamEntry& entry) const
+{
+    const Upstream* const listed = this->find(entry.id);
+    return this->order.check(entry, listed ? &listed->entry : nullptr);
+}
+
+bool UpstreamDirectory::isLate(const UpstreamEntry& entry) const
 {
-    const auto ended = this->endedGenerations.find(makeGenerationId(entry.id, entry.startedAtMs));
-    // An upstream that goes on writing has not ended.
-    return ended != this->endedGenerations.end() && !std::exchange(ended->second.hasLateEntry, true);
+    return this->check(this->withStart(entry)) == EntryOrder::Verdict::Late;
+}
+
+void UpstreamDirectory::recordHeartbeat(const UpstreamEntry& entry)
+{
+    const auto found = this->upstreams.find(entry.id);
+    if (found == this->upstreams.end())
+        return;
+    found->second.entry.sequence = std::max(found->second.entry.sequence, entry.sequence);
+    this->order.recordWritten(found->second.entry);
 }
 
 void UpstreamDirectory::remove(std::string_view id, Foundation::TimePoint now)
 {
+    this->order.dropUnconfirmed(id);
     const auto found = this->upstreams.find(id);
     if (found == this->upstreams.end())
         return;
@@ -102,30 +125,30 @@
     this->report(Change::Removed, removed);
 }
 
+void UpstreamDirectory::removeOverwritten(std::string_view id, Foundation::TimePoint now)
+{
+    const Upstream* const listed = this->find(id);
+    const std::string generation = listed ? listed->generationId() : std::string();
+    this->remove(id, now);
+    this->order.recordOverwritten(generation);
+}
+
 bool UpstreamDirectory::isSuperseded(const UpstreamEntry& entry) const
 {
-    if (this->endedGenerations.contains(makeGenerationId(entry.id, entry.startedAtMs)))
+    if (this->order.hasEnded(makeGenerationId(entry.id, entry.startedAtMs)))
         return true;
     const Upstream* const listed = this->find(entry.id);
     if (!listed)
         return false;
     const bool isSameGeneration = entry.startedAtMs == listed->entry.startedAtMs;
     return entry.startedAtMs < listed->entry.startedAtMs
-        || (isSameGeneration && listed->entry.isDraining && !entry.isDraining);
+        || (isSameGeneration
+            && (entry.sequence < listed->entry.sequence || (listed->entry.isDraining && !entry.isDraining)));
 }
 
 void UpstreamDirectory::recordEnded(const Upstream& upstream, Foundation::TimePoint now)
 {
-    std::erase_if(this->endedGenerations,
-        [now](const auto& ended) { return now - ended.second.endedAt >= endedGenerationRetention; });
-    if (this->endedGenerations.size() < maximumEndedGenerations)
-        this->endedGenerations[upstream.generationId()] = { now, this->isLeaving(upstream) };
-}
-
-bool UpstreamDirectory::hasEndedUnexpectedly(std::string_view generationId) const
-{
-    const auto found = this->endedGenerations.find(generationId);
-    return found != this->endedGenerations.end() && !found->second.wasDraining;
+    this->order.recordEnded(upstream.entry, this->isLeaving(upstream), now);
 }
 
 void UpstreamDirectory::extendGracePeriod(Foundation::TimePoint graceEnd)
@@ -147,8 +170,15 @@
     this->expire(now);
 }
 
-void UpstreamDirectory::expire(Foundation::TimePoint now)
+bool UpstreamDirectory::expire(Foundation::TimePoint now)
 {
+    bool hasChanged = false;
+    for (const UpstreamEntry& entry : this->order.takeConfirmed(now)) {
+        if (this->upstreams.contains(entry.id))
+            continue;
+        this->add(entry, now);
+        hasChanged = true;
+    }
     for (auto next = this->upstreams.begin(); next != this->upstreams.end();) {
         const auto current = next++;
         if (!current->second.missingUntil || now < *current->second.missingUntil)
@@ -157,7 +187,9 @@
         this->upstreams.erase(current);
         this->recordEnded(removed, now);
         this->report(Change::Removed, removed);
+        hasChanged = true;
     }
+    return hasChanged;
 }
 
 void UpstreamDirectory::markMisaddressed(std::string_view id)
--- a/src/libs/membership/upstreamdirectory.h
+++ b/src/libs/membership/upstreamdirectory.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "entryorder.h"
+#include "upstreamentry.h"
+
 #include <foundation/clock.h>
 
 #include <cstdint>
@@ -13,27 +16,6 @@
 
 namespace Membership {
 
-/** The entry that an upstream publishes about itself in the store. */
-struct UpstreamEntry {
-    std::string id;
-    /** The start of this generation, in ms of the Unix epoch; distinguishes generations with the same id. */
-    std::int64_t startedAtMs = 0;
-    std::string service;
-    /** IP address and port. */
-    std::string address;
-    std::string failureDomain;
-    int slots = 1;
-    bool isDraining = false;
-    /** The remaining time for which the upstream is cold, counted from the time of the entry. */
-    Foundation::Duration coldLeft {};
-};
-
-/** @return a unique name of a generation of an upstream, given the start of that generation. */
-std::string makeGenerationId(std::string_view upstream, std::int64_t startedAtMs);
-
-/** @return a hash of an upstream's entry; changes if any field but the id changes. */
-std::uint64_t entryDigest(const UpstreamEntry& entry);
-
 /** A listed upstream. */
 struct Upstream {
     UpstreamEntry entry;
@@ -65,13 +47,18 @@
     explicit UpstreamDirectory(ChangeHandler onChange = {});
 
     /**
-     * Adds an upstream or replaces its entry. The order of the entries decides which generation is the newest, since
-     * the time of day of an upstream's machine may be set back. A single late entry of a generation that has ended is
-     * ignored.
-     * @return whether the entry was applied; if not, it counts again when it is repeated.
+     * Adds an upstream or replaces its entry, unless the entry is late (see EntryOrder). The order of the entries
+     * decides which generation is the newest, since the time of day of an upstream's machine may be set back.
+     * @return whether the entry was applied; if not, it may count when another one follows.
      */
     bool update(const UpstreamEntry& entry, Foundation::TimePoint now);
 
+    /** Returns whether an entry was written before one that is known of its generation. */
+    bool isLate(const UpstreamEntry& entry) const;
+
+    /** Records a heartbeat that changes nothing but the sequence. */
+    void recordHeartbeat(const UpstreamEntry& entry);
+
     /**
      * Returns whether an entry from an older copy of the list would undo what is known: its generation has ended, an
      * earlier one than the listed one, or was draining.
@@ -84,6 +71,9 @@
      */
     void remove(std::string_view id, Foundation::TimePoint now);
 
+    /** Handles a record of another writer under an upstream's id, which hides its entry until its next heartbeat. */
+    void removeOverwritten(std::string_view id, Foundation::TimePoint now);
+
     /** Starts a grace period after an outage of the list, or extends the current one up to the given time. */
     void extendGracePeriod(Foundation::TimePoint graceEnd);
 
@@ -93,8 +83,11 @@
     /** @return the end of the latest grace period. */
     Foundation::TimePoint graceEnd() const { return this->outageGraceEnd; }
 
-    /** Removes missing upstreams whose grace period is over. */
-    void expire(Foundation::TimePoint now);
+    /**
+     * Removes missing upstreams whose grace period is over, and adds those whose entry has been confirmed by time.
+     * @return whether there were any.
+     */
+    bool expire(Foundation::TimePoint now);
 
     /** Marks an upstream at whose address another one answers, until it has a new generation or address. */
     void markMisaddressed(std::string_view id);
@@ -127,7 +120,10 @@
     bool isGenerationListed(std::string_view generationId) const;
 
     /** @return whether a generation ended recently and had not said that it leaves. */
-    bool hasEndedUnexpectedly(std::string_view generationId) const;
+    bool hasEndedUnexpectedly(std::string_view generationId) const
+    {
+        return this->order.hasEndedUnexpectedly(generationId);
+    }
 
     std::size_t size() const { return this->upstreams.size(); }
 
@@ -136,21 +132,15 @@
     /** Returns whether the entry or the upstream itself says that it leaves. */
     bool isLeaving(const Upstream& upstream) const;
     void recordEnded(const Upstream& upstream, Foundation::TimePoint now);
-    /** Returns whether an entry may be a late one of a generation that has ended. */
-    bool isLateEntry(const UpstreamEntry& entry);
-
-    struct EndedGeneration {
-        Foundation::TimePoint endedAt {};
-        bool wasDraining = false;
-        /** Whether an entry of the generation has come after its end. */
-        bool hasLateEntry = false;
-    };
+    void add(const UpstreamEntry& entry, Foundation::TimePoint now);
+    /** Completes an entry that does not say when the upstream was started, since it does not show a restart. */
+    UpstreamEntry withStart(UpstreamEntry entry) const;
+    EntryOrder::Verdict check(const UpstreamEntry& entry) const;
 
     ChangeHandler onChange;
     std::map<std::string, Upstream, std::less<>> upstreams;
     std::set<std::string, std::less<>> evacuatedDomains;
-    /** Kept for the time by which a copy of the list may be older than what is known. */
-    std::map<std::string, EndedGeneration, std::less<>> endedGenerations;
+    EntryOrder order;
     /** The generations that have said themselves that they leave, and when. */
     std::map<std::string, Foundation::TimePoint, std::less<>> leavingGenerations;
     Foundation::TimePoint outageGraceEnd {};
--- a/tests/auto/gateway/tst_gateway.cpp
+++ b/tests/auto/gateway/tst_gateway.cpp
@@ -400,6 +400,7 @@
     }
     CHECK_TRUE(this->runUntil(
         [&] { return std::ranges::all_of(silentCalls, [](const auto& call) { return call->isFinished; }); }));
+    this->upstreamTwo.startedAtMs = 2;
     this->store.put("keyed.servers", "two", this->upstreamTwo.entry("app"));
     this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::CloseBeforeAnswer;
     this->upstreamOne.startedRequests.clear();
@@ -423,6 +424,7 @@
     this->store.removeKey("keyed.servers", "two");
     this->runFor(800ms);
     LONGS_EQUAL(200, this->call("/stream/x", "POST").result.status);
+    this->upstreamTwo.startedAtMs = 2;
     this->store.put("keyed.servers", "two", this->upstreamTwo.entry("llm"));
     this->upstreamOne.behaviour = this->upstreamTwo.behaviour = UpstreamBehaviour::CloseBeforeAnswer;
     this->upstreamOne.startedRequests.clear();
@@ -508,6 +510,7 @@
     const auto answer = std::make_shared<Answer>();
     this->send("/slow/x", answer);
     CHECK_TRUE(this->runUntil([this] { return this->upstreamOne.startedRequests.size() == 1; }));
+    this->upstreamTwo.startedAtMs = 2;
     this->store.put("keyed.servers", "two", this->upstreamTwo.entry("app"));
     this->store.removeKey("keyed.servers", "one");
     CHECK_TRUE(this->runUntil([&] { return answer->isFinished; }));
--- a/tests/auto/platformadapter/tst_upstreamdecoder.cpp
+++ b/tests/auto/platformadapter/tst_upstreamdecoder.cpp
@@ -31,6 +31,7 @@
     LONGS_EQUAL(16, entry->slots);
     CHECK_TRUE(entry->coldLeft == 250ms);
     CHECK_TRUE(entry->startedAtMs == 1787726340335);
+    LONGS_EQUAL(4, entry->sequence);
     CHECK_FALSE(entry->isDraining);
     CHECK_TRUE(decodeUpstream("i-1", testEntryWith("ready", "draining"))->isDraining);
 }
