Order what the gateways write to the store, too

What callers saw: nothing was reported. By tests on: a request that had been found harmless was quarantined again by a crash notice that the store executed after its removal; other gateways kept an address of an earlier process; gateways that started waited 2.5 s each, since a settled era had been overwritten by an earlier one.

Change: a crash notice that was recorded before the removal of its key is ignored, and removed again by the gateway that had removed it. A gateway that reads another address under its own name writes its own again.

--- a/src/apps/gateway/storesynchronizerrecords.cpp
+++ b/src/apps/gateway/storesynchronizerrecords.cpp
@@ -160,11 +160,16 @@
         if (std::from_chars(text.data(), end, recorded).ptr != end)
             logEvent(Event::EntryIgnored, "", "key=" + record.key + " offset=" + std::to_string(record.offset));
         else
-            this->settledEra = std::max(this->settledEra, recorded);
+            // May be lower than before, if the store executed the write late. It is then recorded again.
+            this->settledEra = recorded;
         if (this->era > 0 && this->settledEra >= this->era)
             this->startCheck.recordSettled();
         return;
     }
+    // An earlier process of this machine may have had another address, and its write may be executed late.
+    const bool isOwn = record.key == this->settings.node.name;
+    if (isOwn && record.value != this->settings.node.peerEndpoint.text())
+        this->isRegistered = false;
     if (record.value)
         this->peerAddresses[record.key] = *record.value;
     else
--- a/src/apps/gateway/suspectstore.cpp
+++ b/src/apps/gateway/suspectstore.cpp
@@ -19,8 +19,11 @@
 constexpr std::size_t repeatedCrashes = 2;
 // Bounds the memory for what is queued and known while the store is away; bystanders are not stored.
 constexpr std::size_t maximumKeys = 4096;
-// Longer than a copy of the store may be old.
+// Longer than a copy of the store may be old and a write may be executed late.
 constexpr Duration removalRetention = std::chrono::minutes(1);
+// The clocks of the gateways differ by less than this. A request that was found harmless is not stored again for
+// longer.
+constexpr std::int64_t maximumClockSkewMs = 5'000;
 constexpr char keySeparator = '/';
 constexpr const char* crashField = "crash";
 constexpr const char* certaintyField = "certainty";
@@ -91,7 +94,7 @@
     for (auto next = this->storedKeys.lower_bound(prefix);
          next != this->storedKeys.end() && next->first.starts_with(prefix);) {
         this->writer.queue(next->first, std::nullopt);
-        this->removedKeys[next->first] = { this->clock.now(), this->era };
+        this->recordRemoval(next->first, /* isOwn */ true);
         next = this->storedKeys.erase(next);
     }
     this->writer.tick();
@@ -111,8 +114,10 @@
     const Foundation::TimePoint now = this->clock.now();
     std::erase_if(
         this->removedKeys, [now](const auto& removed) { return now - removed.second.time >= removalRetention; });
-    for (const auto& [key, removal] : this->removedKeys)
-        this->writer.queue(key, std::nullopt);
+    for (const auto& [key, removal] : this->removedKeys) {
+        if (removal.isOwn)
+            this->writer.queue(key, std::nullopt);
+    }
     for (const std::string& fingerprint : this->observed) {
         for (const CrashNotice& notice : this->suspects.openNotices(fingerprint)) {
             const std::string key = makeKey(notice);
@@ -132,6 +137,7 @@
     if (record.value && removed != this->removedKeys.end() && record.era > removed->second.era)
         return;
     if (!record.value) {
+        this->recordRemoval(record.key, /* isOwn */ false);
         this->storedKeys.erase(record.key);
         this->suspects.exonerate(fingerprint);
         return;
@@ -144,6 +150,8 @@
         logEvent(Event::EntryIgnored, "", "key=" + record.key + " offset=" + std::to_string(record.offset));
         return;
     }
+    if (this->isRemoved(record, fields[timeField].get<std::int64_t>()))
+        return;
     const CrashCertainty certainty = decodeCertainty(fields[certaintyField].get<int>());
     this->storedKeys[record.key] = certainty;
     const Duration age = std::chrono::milliseconds(
@@ -162,6 +170,31 @@
                 + " ending=stored crashes=" + std::to_string(this->suspects.crashCount(fingerprint)));
 }
 
+void SuspectStore::recordRemoval(const std::string& key, bool isOwn)
+{
+    const Foundation::TimePoint now = this->clock.now();
+    std::erase_if(
+        this->removedKeys, [now](const auto& removed) { return now - removed.second.time >= removalRetention; });
+    const auto [removal, isNew] = this->removedKeys.try_emplace(key);
+    // The removal of this process is read again from the store.
+    if (isNew || isOwn)
+        removal->second = { now, this->era, toEpochMs(this->wallClock.now()), isOwn };
+}
+
+bool SuspectStore::isRemoved(const StoreCache::KeyedRecord& record, std::int64_t recordedMs)
+{
+    const auto removed = this->removedKeys.find(record.key);
+    if (removed == this->removedKeys.end() || recordedMs > removed->second.wallTimeMs + maximumClockSkewMs)
+        return false;
+    logEvent(
+        Event::EntryIgnored, "", "key=" + record.key + " offset=" + std::to_string(record.offset) + " reason=late");
+    if (removed->second.isOwn) {
+        this->writer.queue(record.key, std::nullopt);
+        this->writer.tick();
+    }
+    return true;
+}
+
 std::string SuspectStore::encode(const CrashNotice& notice) const
 {
     return nlohmann::json {
--- a/src/apps/gateway/suspectstore.h
+++ b/src/apps/gateway/suspectstore.h
@@ -51,7 +51,20 @@
     void onNewEra(Foundation::Duration delay);
 
 private:
+    /** When and in which era of the store a key was removed. */
+    struct Removal {
+        Foundation::TimePoint time {};
+        std::uint64_t era = 0;
+        /** In ms of the Unix epoch. */
+        std::int64_t wallTimeMs = 0;
+        /** Whether this process removed it. */
+        bool isOwn = false;
+    };
+
     std::string encode(const Quarantine::CrashNotice& notice) const;
+    void recordRemoval(const std::string& key, bool isOwn);
+    /** Returns whether a record was written before its key was removed, and removes it again if this process did. */
+    bool isRemoved(const StoreCache::KeyedRecord& record, std::int64_t recordedMs);
 
     SuspectTopicWriter& writer;
     const Foundation::Clock& clock;
@@ -61,13 +74,7 @@
     std::set<std::string, std::less<>> observed;
     /** The keys that the store has or will have, with the certainty that is stored. */
     std::map<std::string, Quarantine::CrashCertainty, std::less<>> storedKeys;
-    /** When and in which era of the store a key was removed. */
-    struct Removal {
-        Foundation::TimePoint time {};
-        std::uint64_t era = 0;
-    };
-
-    /** Kept for the time by which a copy of the store may be older. */
+    /** Kept for the time by which a copy of the store may be older, or the store may execute a write late. */
     std::map<std::string, Removal, std::less<>> removedKeys;
     /** The era of the newest record. */
     std::uint64_t era = 0;
