--- a/tests/auto/storecache/tst_topiccache.cpp
+++ b/tests/auto/storecache/tst_topiccache.cpp
@@ -104,7 +104,9 @@
     int changes = 0;
     TopicCache cache([&changes](const KeyedRecord&) { ++changes; });
     cache.merge(TopicUpdate::range(0, { { "k", "new", 7 } }, 8));
+    LONGS_EQUAL(1, changes);
     cache.merge(TopicUpdate::range(0, { { "k", "old", 6 } }, 8));
+    LONGS_EQUAL(1, changes);
     cache.merge(TopicUpdate::range(0, { { "k", "new", 7 } }, 8));
     STRCMP_EQUAL("new", cache.find("k")->value->c_str());
     LONGS_EQUAL(1, changes);
